--- /dev/null
+++ b/waggateway/waggateway.go
@@ -0,0 +1,119 @@
+// Package waggateway is the path of a request through an entry host: it takes
+// the request from the caller, finds its route, has it placed on a server,
+// sends it there and passes the answer on.
+package waggateway
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
+	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagsite"
+	"github.com/wagtailspar/wagtailspar/wagupstream"
+)
+
+// Protocol is what requests and answers carry in headers besides HTTP.
+type Protocol interface {
+	// RequestID returns the identity of a request, or an empty string.
+	RequestID(h http.Header) string
+	// Patience returns how long the caller waits, or false when it does not tell.
+	Patience(h http.Header) (time.Duration, bool)
+	// Prepare sets what a server is told: how long it may work and which start of
+	// a server is meant.
+	Prepare(h http.Header, left time.Duration, serverID string)
+	// Report reads what a server says of itself on an answer.
+	Report(h http.Header) (wagplacement.Report, bool)
+	// NotRun tells whether an answer proves that the server did not run the
+	// request.
+	NotRun(status int, h http.Header) bool
+	// Misdirected tells whether another server has the address.
+	Misdirected(status int) bool
+	// Signed tells whether an answer is the work of a server.
+	Signed(h http.Header) bool
+	// Unsign removes what marks an answer as the work of a server.
+	Unsign(h http.Header)
+	// Echo repeats the identity of a request on an answer.
+	Echo(h http.Header, id string)
+}
+
+// Placer places requests on servers.
+type Placer interface {
+	Place(ctx context.Context, service string, r wagplacement.Request) wagowner.Outcome
+}
+
+// Gateway takes requests of callers. It is safe for concurrent use.
+type Gateway struct {
+	protocol Protocol
+	placer   Placer
+	upstream *wagupstream.Pool
+	clock    wagclock.Clock
+	log      logrus.FieldLogger
+
+	// config is nil until the first configuration is in force.
+	config   atomic.Pointer[wagsite.Config]
+	stopping atomic.Bool
+	counters sync.Map // route name to *atomic.Uint64, numbers the requests of a route
+}
+
+// Option sets a property of a Gateway.
+type Option func(*Gateway)
+
+// WithClock replaces the clock.
+func WithClock(c wagclock.Clock) Option { return func(g *Gateway) { g.clock = c } }
+
+// WithLog replaces the standard logger.
+func WithLog(l logrus.FieldLogger) Option { return func(g *Gateway) { g.log = l } }
+
+// New returns a gateway without a configuration.
+func New(protocol Protocol, placer Placer, upstream *wagupstream.Pool, opts ...Option) *Gateway {
+	g := &Gateway{protocol: protocol, placer: placer, upstream: upstream, clock: wagclock.System{}, log: logrus.StandardLogger()}
+	for _, o := range opts {
+		o(g)
+	}
+	return g
+}
+
+// SetConfig puts a configuration in force for the requests that follow, unless a
+// newer one is.
+func (g *Gateway) SetConfig(c *wagsite.Config) {
+	for {
+		old := g.config.Load()
+		if old != nil && old.Version >= c.Version {
+			return
+		}
+		if g.config.CompareAndSwap(old, c) {
+			return
+		}
+	}
+}
+
+// Ready tells whether the gateway can serve requests and is not stopping.
+func (g *Gateway) Ready() bool {
+	return g.config.Load() != nil && !g.stopping.Load()
+}
+
+// number returns the number of a request among those of its route.
+func (g *Gateway) number(route string) uint64 {
+	n, ok := g.counters.Load(route)
+	if !ok {
+		n, _ = g.counters.LoadOrStore(route, new(atomic.Uint64))
+	}
+	return n.(*atomic.Uint64).Add(1)
+}
+
+// callerAddress is what the log says of a caller.
+func callerAddress(r *http.Request) netip.AddrPort {
+	a, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return a
+}
--- /dev/null
+++ b/wagowner/wagowner.go
@@ -0,0 +1,194 @@
+// Package wagowner runs the placement of requests at the host that owns the
+// servers of a data centre.
+package wagowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
+	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagserver"
+)
+
+// Outcome is the end of a request for a server: Granted or Refused.
+type Outcome interface{ isOutcome() }
+
+// Granted gives a slot of a server. Finish is called once.
+type Granted struct {
+	Server wagserver.Instance
+	Finish func(wagplacement.Result)
+}
+
+// Refused tells that the request is not to run now.
+type Refused struct {
+	Reason  wagplacement.Reason
+	RetryAt time.Time
+}
+
+func (Granted) isOutcome() {}
+func (Refused) isOutcome() {}
+
+// Owner places requests on servers. It is safe for concurrent use.
+type Owner struct {
+	clock wagclock.Clock
+
+	mu     sync.Mutex
+	groups map[string]*group
+	next   wagplacement.RequestID
+	// wake is signalled when a core has to be called earlier than planned.
+	wake chan struct{}
+}
+
+type group struct {
+	core *wagplacement.Core
+	// waiters holds a channel with room for one outcome for each request that
+	// waits.
+	waiters map[wagplacement.RequestID]chan Outcome
+}
+
+// Option sets a property of an Owner.
+type Option func(*Owner)
+
+// WithClock replaces the clock.
+func WithClock(c wagclock.Clock) Option { return func(o *Owner) { o.clock = c } }
+
+// New returns an owner without servers.
+func New(opts ...Option) *Owner {
+	o := &Owner{clock: wagclock.System{}, groups: make(map[string]*group), wake: make(chan struct{}, 1)}
+	for _, option := range opts {
+		option(o)
+	}
+	return o
+}
+
+// SetServers replaces the servers of all services.
+func (o *Owner) SetServers(list []wagserver.Instance) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	services := make(map[string][]wagserver.Instance)
+	for name := range o.groups {
+		services[name] = nil
+	}
+	for _, i := range list {
+		services[i.Service] = append(services[i.Service], i)
+	}
+	now := o.clock.Now()
+	for name, servers := range services {
+		g := o.group(name)
+		g.core.SetServers(now, servers)
+		o.carryOut(g)
+	}
+}
+
+// group returns the group of a service; o.mu is held.
+func (o *Owner) group(service string) *group {
+	g, ok := o.groups[service]
+	if !ok {
+		g = &group{core: wagplacement.New(), waiters: make(map[wagplacement.RequestID]chan Outcome)}
+		o.groups[service] = g
+	}
+	return g
+}
+
+// Place returns a server for a request, after waiting for one if need be.
+func (o *Owner) Place(ctx context.Context, service string, r wagplacement.Request) Outcome {
+	o.mu.Lock()
+	o.next++
+	r.ID = o.next
+	g := o.group(service)
+	w := make(chan Outcome, 1)
+	g.waiters[r.ID] = w
+	g.core.Submit(o.clock.Now(), r)
+	o.carryOut(g)
+	o.mu.Unlock()
+	select {
+	case x := <-w:
+		return x
+	case <-ctx.Done():
+	}
+	return o.abandon(g, r.ID, w)
+}
+
+// abandon takes a request out of the queue. A slot that it was given in the
+// meantime is returned.
+func (o *Owner) abandon(g *group, id wagplacement.RequestID, w chan Outcome) Outcome {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	select {
+	case x := <-w:
+		return x
+	default:
+	}
+	delete(g.waiters, id)
+	now := o.clock.Now()
+	g.core.Cancel(now, id)
+	return Refused{Reason: wagplacement.ReasonDeadline, RetryAt: now}
+}
+
+// carryOut executes what a core asks for; o.mu is held.
+func (o *Owner) carryOut(g *group) {
+	for _, command := range g.core.Commands() {
+		switch x := command.(type) {
+		case wagplacement.Grant:
+			g.answer(x.Request, Granted{Server: x.Server, Finish: func(r wagplacement.Result) { o.finish(g, x.Request, r) }})
+		case wagplacement.Refuse:
+			g.answer(x.Request, Refused{Reason: x.Reason, RetryAt: x.RetryAt})
+		case wagplacement.Probe:
+		}
+	}
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (g *group) answer(id wagplacement.RequestID, x Outcome) {
+	if w, ok := g.waiters[id]; ok {
+		delete(g.waiters, id)
+		w <- x
+	}
+}
+
+func (o *Owner) finish(g *group, id wagplacement.RequestID, r wagplacement.Result) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	g.core.Finished(o.clock.Now(), id, r)
+	o.carryOut(g)
+}
+
+// Run calls the cores when they ask for it, until ctx ends.
+func (o *Owner) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		var fired <-chan time.Time
+		release := func() {}
+		if at := o.tick(); !at.IsZero() {
+			fired, release = o.clock.At(at)
+		}
+		select {
+		case <-ctx.Done():
+		case <-o.wake:
+		case <-fired:
+		}
+		release()
+	}
+	return nil
+}
+
+// tick calls the cores that are due and returns when the next one is.
+func (o *Owner) tick() (next time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.clock.Now()
+	for _, g := range o.groups {
+		if at := g.core.NextWake(); !at.IsZero() && !at.After(now) {
+			g.core.Tick(now)
+			o.carryOut(g)
+		}
+		if at := g.core.NextWake(); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	return next
+}
--- /dev/null
+++ b/wagplacement/wagplacement.go
@@ -0,0 +1,115 @@
+// Package wagplacement decides on which server of a service a request runs,
+// whether it waits for one and when it is refused. One Core decides for the
+// servers of one service in one data centre. It does no input or output and is
+// driven event by event, with the time passed in.
+package wagplacement
+
+import (
+	"time"
+
+	"github.com/wagtailspar/wagtailspar/wagserver"
+)
+
+// RequestID names a request within one Core.
+type RequestID uint64
+
+// Request is a request that needs a server.
+type Request struct {
+	// ID is unique among the requests that have not finished.
+	ID    RequestID
+	Route string
+	// Rank orders requests by urgency; 0 comes first.
+	Rank int
+	// Goal is until when an answer is of full use, Deadline until when it is of
+	// any use. Goal is not after Deadline.
+	Goal, Deadline time.Time
+	// Avoid holds the IDs of servers that failed the request.
+	Avoid []string
+	// Repeat tells that the request was sent to a server before, so that it draws
+	// on the retry budget.
+	Repeat bool
+}
+
+// Command is what a Core asks for: Grant, Refuse or Probe.
+type Command interface{ isCommand() }
+
+// Grant gives a request a slot of a server. Finished has to follow.
+type Grant struct {
+	Request RequestID
+	Server  wagserver.Instance
+}
+
+// Refuse ends a request. It was not run by this grant or any later one.
+type Refuse struct {
+	Request RequestID
+	Reason  Reason
+	// RetryAt is when room is expected.
+	RetryAt time.Time
+}
+
+// Probe asks for a report of a server. Probed has to follow.
+type Probe struct {
+	Server wagserver.Instance
+	// Deadline is when the answer is of no use any more.
+	Deadline time.Time
+}
+
+func (Grant) isCommand()  {}
+func (Refuse) isCommand() {}
+func (Probe) isCommand()  {}
+
+// Reason tells why a request was refused.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// ReasonNoServer tells that the service has no server that could take it.
+	ReasonNoServer Reason = "noServer"
+	// ReasonOverload tells that no server has room before the deadline.
+	ReasonOverload Reason = "overload"
+	// ReasonDeadline tells that the deadline passed.
+	ReasonDeadline Reason = "deadline"
+	// ReasonBudget tells that the retry budget is used up.
+	ReasonBudget Reason = "budget"
+)
+
+// Report is what a server says of itself.
+type Report struct {
+	Running, Waiting, Slots int
+	// Slowness is how long work takes at this moment, as a multiple of the usual;
+	// 0 when the server does not tell.
+	Slowness float64
+}
+
+// Fault tells how an attempt failed.
+type Fault int
+
+// Faults of attempts.
+const (
+	FaultNone Fault = iota
+	// FaultConnect tells that no connection could be had, so that nothing was sent.
+	FaultConnect
+	// FaultRejected tells that the server stated that it did not run the request.
+	FaultRejected
+	// FaultGone tells that another server has the address.
+	FaultGone
+	// FaultError tells of an answer that reports a failure of the server.
+	FaultError
+	// FaultBroken tells of a connection or an answer that broke.
+	FaultBroken
+	// FaultTimeout tells that no answer came in time.
+	FaultTimeout
+	// FaultCanceled tells that the attempt was given up for reasons that say
+	// nothing about the server.
+	FaultCanceled
+)
+
+// Result tells how the attempt of a request ended.
+type Result struct {
+	Fault Fault
+	// Took is the time from the grant to the answer.
+	Took time.Duration
+	// Report is valid when HasReport is set.
+	Report    Report
+	HasReport bool
+}
--- /dev/null
+++ b/wagserver/instance.go
@@ -0,0 +1,24 @@
+package wagserver
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Instance is one start of a server as it registered itself.
+type Instance struct {
+	// ID is unique among the servers that are registered at the same time. A
+	// server that starts again may keep it; Started differs then.
+	ID         string
+	Service    string
+	DataCentre string
+	Address    netip.AddrPort
+	// Slots is how many requests the server runs at once, 1 or more.
+	Slots int
+	State State
+	// Started is by the server's clock and only compared for equality.
+	Started time.Time
+	// ColdUntil is until when the server is slow after its start, by the clock of
+	// this host; zero when it is not.
+	ColdUntil time.Time
+}
