--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -36,6 +36,8 @@
 	NotRun(status int, h http.Header) bool
 	// Misdirected tells whether another server has the address.
 	Misdirected(status int) bool
+	// ServerID returns the identity that a server gives itself, or an empty string.
+	ServerID(h http.Header) string
 	// Signed tells whether an answer is the work of a server.
 	Signed(h http.Header) bool
 	// Unsign removes what marks an answer as the work of a server.
@@ -100,6 +102,17 @@
 	return g.config.Load() != nil && !g.stopping.Load()
 }
 
+// HealthPath returns what probes ask the servers of a service for, or an empty
+// string.
+func (g *Gateway) HealthPath(service string) string {
+	c := g.config.Load()
+	if c == nil {
+		return ""
+	}
+	s, _ := c.Service(service)
+	return s.HealthPath
+}
+
 // number returns the number of a request among those of its route.
 func (g *Gateway) number(route string) uint64 {
 	n, ok := g.counters.Load(route)
--- /dev/null
+++ b/wagmesh/link.go
@@ -0,0 +1,379 @@
+package wagmesh
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/wagtailspar/wagtailspar/wagmirror"
+	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagroster"
+)
+
+const (
+	// dialTime bounds opening a connection to another host. The farthest link of a
+	// region has a round trip of 11 ms; a lost packet is sent again after 1 s.
+	dialTime = 1500 * time.Millisecond
+	// maxPending bounds the messages that wait to be sent on one link. A host
+	// that does not read is given up.
+	maxPending = 4096
+)
+
+var (
+	errSilent     = errors.New("the other host is silent")
+	errOverflow   = errors.New("the other host does not read")
+	errNoHello    = errors.New("the first frame is no hello")
+	errSuperseded = errors.New("the mesh has ended")
+)
+
+// stream is one end of a link.
+type stream interface {
+	Send(*Frame) error
+	Recv() (*Frame, error)
+}
+
+// link is a connection to another host, in either direction.
+type link struct {
+	mesh *Mesh
+	// peer is set with the hello and never changes.
+	peer wagroster.Member
+	// upstream tells that this host learns of changes on the link, subscribed
+	// that the other one does.
+	upstream, subscribed bool
+	cancel               context.CancelCauseFunc
+
+	mu sync.Mutex
+	// pending is what is to be sent next; nil when nothing is.
+	pending *Frame
+	ready   chan struct{}
+	// heard is when the latest frame arrived, and nextBeat when one is due.
+	heard, nextBeat time.Time
+	// known holds the revision of each kind up to which the other host is
+	// complete.
+	known map[string]wagmirror.Revision
+	// asked holds the requests that this host placed on the link.
+	asked map[uint64]*asked
+	// next is the identity of the next request.
+	next uint64
+	// taken holds the requests of the other host that wait here, granted those
+	// that have a server.
+	taken   map[uint64]wagowner.Ticket
+	granted map[uint64]func(wagplacement.Result)
+	closed  bool
+}
+
+func (m *Mesh) newLink(cancel context.CancelCauseFunc) *link {
+	now := m.clock.Now()
+	return &link{
+		mesh: m, cancel: cancel, ready: make(chan struct{}, 1), heard: now, nextBeat: now,
+		known: make(map[string]wagmirror.Revision), asked: make(map[uint64]*asked),
+		taken: make(map[uint64]wagowner.Ticket), granted: make(map[uint64]func(wagplacement.Result)),
+	}
+}
+
+// service answers the links that other hosts open.
+type service struct{ mesh *Mesh }
+
+var _ DRPCMeshServer = (*service)(nil)
+
+// Link runs a link that another host opened.
+func (s *service) Link(in DRPCMesh_LinkStream) error {
+	m := s.mesh
+	m.mu.Lock()
+	full := m.inbound >= maxLinks
+	if !full {
+		m.inbound++
+	}
+	m.mu.Unlock()
+	if full {
+		return errors.New("too many links")
+	}
+	defer func() {
+		m.mu.Lock()
+		m.inbound--
+		m.mu.Unlock()
+	}()
+	ctx, cancel := context.WithCancelCause(in.Context())
+	defer cancel(nil)
+	return m.run(ctx, m.newLink(cancel), in)
+}
+
+// runOutbound opens a link and runs it until it ends.
+func (m *Mesh) runOutbound(to netip.AddrPort, subscribe bool, d *dial) {
+	err := m.outbound(to, subscribe, d)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d.under = false
+	if m.ctx.Err() != nil {
+		return
+	}
+	m.log.WithError(err).WithField("address", to).Debug("a link ended")
+	if d.failures == 0 {
+		return
+	}
+	d.next = m.clock.Now().Add(min(seedPause*time.Duration(d.failures), 10*time.Second))
+	for _, member := range m.roster.Members() {
+		if member.Address == to {
+			m.roster.Distrust(m.clock.Now(), member.Name)
+		}
+	}
+}
+
+func (m *Mesh) outbound(to netip.AddrPort, subscribe bool, d *dial) error {
+	dialer := net.Dialer{Timeout: dialTime}
+	raw, err := dialer.DialContext(m.ctx, "tcp", to.String())
+	m.mu.Lock()
+	if err != nil {
+		d.failures++
+	} else {
+		d.failures = 0
+	}
+	m.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	conn := drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancelCause(m.ctx)
+	defer cancel(nil)
+	s, err := NewDRPCMeshClient(conn).Link(ctx)
+	if err != nil {
+		return err
+	}
+	l := m.newLink(cancel)
+	l.upstream = subscribe
+	return m.run(ctx, l, s)
+}
+
+// run exchanges frames until the link ends.
+func (m *Mesh) run(ctx context.Context, l *link, s stream) error {
+	m.mu.Lock()
+	hello := &Hello{Self: memberMessage(m.roster.Self()), Subscribe: l.upstream}
+	m.mu.Unlock()
+	l.send(func(f *Frame) { f.Hello = hello })
+	defer l.end()
+	g, gctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return l.sendFrames(gctx, s) })
+	g.Go(func() error { return l.receiveFrames(gctx, s) })
+	err := g.Wait()
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// send adds to the next frame. It does not block.
+func (l *link) send(add func(*Frame)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sendLocked(add)
+}
+
+func (l *link) sendLocked(add func(*Frame)) {
+	if l.closed {
+		return
+	}
+	if l.pending == nil {
+		l.pending = &Frame{}
+	}
+	add(l.pending)
+	if len(l.pending.Places)+len(l.pending.Placed)+len(l.pending.Finishes)+len(l.pending.Members)+len(l.pending.Updates) > maxPending {
+		l.cancel(errOverflow)
+	}
+	select {
+	case l.ready <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) sendFrames(ctx context.Context, s stream) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.ready:
+		}
+		l.mu.Lock()
+		f := l.pending
+		l.pending = nil
+		l.mu.Unlock()
+		if f == nil {
+			continue
+		}
+		if err := s.Send(f); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *link) receiveFrames(ctx context.Context, s stream) error {
+	f, err := s.Recv()
+	if err != nil {
+		return err
+	}
+	peer, ok := memberOf(f.GetHello().GetSelf())
+	if !ok {
+		return errNoHello
+	}
+	l.peer, l.subscribed = peer, f.GetHello().GetSubscribe()
+	l.mesh.mu.Lock()
+	if l.mesh.ctx.Err() != nil {
+		l.mesh.mu.Unlock()
+		return errSuperseded
+	}
+	l.mesh.joined(l)
+	l.mesh.mu.Unlock()
+	for {
+		l.handle(f)
+		if f, err = s.Recv(); err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// handle takes one frame.
+func (l *link) handle(f *Frame) {
+	m := l.mesh
+	now := m.clock.Now()
+	l.mu.Lock()
+	l.heard = now
+	l.mu.Unlock()
+	for _, p := range f.GetPlaced() {
+		l.placed(now, p)
+	}
+	for _, p := range f.GetFinishes() {
+		l.finished(p)
+	}
+	for _, id := range f.GetCancels() {
+		l.canceled(id)
+	}
+	for _, p := range f.GetPlaces() {
+		l.place(now, p)
+	}
+	if len(f.GetMembers()) > 0 {
+		m.learn(l, f.GetMembers())
+	}
+	for _, u := range f.GetUpdates() {
+		l.update(updateOf(u))
+	}
+	if f.GetBeat() != nil {
+		l.beat(now, f.GetBeat())
+	}
+}
+
+// update takes changes of objects.
+func (l *link) update(u wagmirror.Update) {
+	if !l.upstream && !l.subscribed {
+		return
+	}
+	if !l.mesh.sync.Apply(u) {
+		return
+	}
+	l.mu.Lock()
+	l.known[u.Kind] = max(l.known[u.Kind], u.At)
+	l.mu.Unlock()
+	l.mesh.Changed()
+}
+
+// beat takes what the other host says of its copy.
+func (l *link) beat(now time.Time, b *Beat) {
+	l.mu.Lock()
+	for _, c := range b.GetComplete() {
+		l.known[c.GetKind()] = wagmirror.Revision(c.GetRevision())
+	}
+	l.mu.Unlock()
+	complete := l.mesh.sync.Complete()
+	l.push(complete)
+	if b.ConfirmedAge == nil || !l.upstream {
+		return
+	}
+	for _, c := range b.GetComplete() {
+		if complete[c.GetKind()] < wagmirror.Revision(c.GetRevision()) {
+			// The changes are still under way.
+			return
+		}
+	}
+	l.mesh.sync.Heard(now.Add(-milliseconds(int64(b.GetConfirmedAge()))))
+}
+
+// push sends the changes that the other host lacks.
+func (l *link) push(complete map[string]wagmirror.Revision) {
+	if !l.upstream && !l.subscribed {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for kind, revision := range complete {
+		known := l.known[kind]
+		if revision <= known {
+			continue
+		}
+		u := updateMessage(l.mesh.sync.Since(kind, known))
+		l.known[kind] = revision
+		l.sendLocked(func(f *Frame) { f.Updates = append(f.Updates, u) })
+	}
+}
+
+// tick sends a beat when one is due and gives up a link that is silent.
+func (l *link) tick(now time.Time) {
+	m := l.mesh
+	every := nearBeat
+	if l.peer.DataCentre != m.roster.Self().DataCentre {
+		every = farBeat
+	}
+	l.mu.Lock()
+	silent := now.Sub(l.heard) > missedBeats*every
+	due := !now.Before(l.nextBeat)
+	if due {
+		l.nextBeat = now.Add(every)
+	}
+	l.mu.Unlock()
+	if silent {
+		l.cancel(errSilent)
+		return
+	}
+	if !due {
+		return
+	}
+	b := &Beat{}
+	if l.upstream || l.subscribed {
+		for kind, revision := range m.sync.Complete() {
+			b.Complete = append(b.Complete, &Complete{Kind: kind, Revision: uint64(revision)})
+		}
+		if at := m.sync.Confirmed(); !at.IsZero() {
+			age := uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+			b.ConfirmedAge = &age
+		}
+	}
+	l.send(func(f *Frame) { f.Beat = b })
+}
+
+// end gives back what the link holds.
+func (l *link) end() {
+	l.mesh.left(l)
+	l.mu.Lock()
+	l.closed = true
+	taken, granted, waiting := l.taken, l.granted, l.asked
+	l.taken, l.granted, l.asked = nil, nil, nil
+	l.mu.Unlock()
+	for _, t := range taken {
+		t.Cancel()
+	}
+	for _, finish := range granted {
+		finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+	}
+	for _, a := range waiting {
+		close(a.lost)
+	}
+}
--- /dev/null
+++ b/wagmesh/wagmesh.go
@@ -0,0 +1,346 @@
+// Package wagmesh connects the entry hosts of a site, so that they act as one: a
+// host asks the owner of a server group for servers, and one host reads the
+// platform's store for all.
+package wagmesh
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
+	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagroster"
+	"github.com/wagtailspar/wagtailspar/wagsync"
+)
+
+const (
+	// tickTime is how often duties are looked at.
+	tickTime = 100 * time.Millisecond
+	// nearBeat and farBeat are the times between two beats within a data centre
+	// and between two of them, where bytes are dear.
+	nearBeat = 250 * time.Millisecond
+	farBeat  = time.Second
+	// missedBeats is after how many beats without a frame a link is given up.
+	missedBeats = 4
+	// seedPause is the time between two attempts to reach a seed while no other
+	// host is known.
+	seedPause = 500 * time.Millisecond
+	// startTime is how long a start waits for other hosts before it follows the
+	// store itself. All hosts of a site start within 0.3 s.
+	startTime = 700 * time.Millisecond
+	// relayStale and hostStale are how old the confirmation of the copy may be
+	// before a relay, or another host, follows the store itself.
+	relayStale = 2500 * time.Millisecond
+	hostStale  = 4 * time.Second
+	// maxFrame bounds a frame: the objects of 1,000 servers have 300 bytes each,
+	// and a configuration has up to 1 MB.
+	maxFrame = 4 << 20
+	// keptBuffer is the greatest buffer that a connection keeps between frames.
+	keptBuffer = 16 << 10
+	// maxLinks bounds the links that other hosts open.
+	maxLinks = 2048
+)
+
+// Mesh holds the links of a host to others. It is safe for concurrent use.
+type Mesh struct {
+	clock wagclock.Clock
+	log   logrus.FieldLogger
+	sync  *wagsync.Sync
+	owner *wagowner.Owner
+	seeds func() []netip.AddrPort
+	// group runs the links until the mesh ends.
+	group *errgroup.Group
+	ctx   context.Context
+
+	mu     sync.Mutex
+	roster *wagroster.Roster
+	// links holds the live links by the name of the host at the other end, the
+	// latest last.
+	links map[string][]*link
+	// dials holds the hosts to which a connection is being opened, and when one
+	// may be tried again.
+	dials map[netip.AddrPort]*dial
+	// services are the services that this host may need owners of.
+	services []string
+	started  time.Time
+	inbound  int
+}
+
+// dial is the state of opening connections to one address.
+type dial struct {
+	under bool
+	// next is when another attempt may begin.
+	next     time.Time
+	failures int
+}
+
+// Option sets a property of a Mesh.
+type Option func(*Mesh)
+
+// WithClock replaces the clock.
+func WithClock(c wagclock.Clock) Option { return func(m *Mesh) { m.clock = c } }
+
+// WithLog replaces the standard logger.
+func WithLog(l logrus.FieldLogger) Option { return func(m *Mesh) { m.log = l } }
+
+// WithSeeds sets the addresses that are asked for other hosts.
+func WithSeeds(seeds func() []netip.AddrPort) Option { return func(m *Mesh) { m.seeds = seeds } }
+
+// New returns a mesh without links.
+func New(self wagroster.Member, s *wagsync.Sync, o *wagowner.Owner, opts ...Option) *Mesh {
+	m := &Mesh{
+		clock: wagclock.System{}, log: logrus.StandardLogger(), sync: s, owner: o, seeds: func() []netip.AddrPort { return nil },
+		roster: wagroster.New(self), links: make(map[string][]*link), dials: make(map[netip.AddrPort]*dial),
+	}
+	for _, option := range opts {
+		option(m)
+	}
+	return m
+}
+
+// SetServices sets the services whose owners are kept linked.
+func (m *Mesh) SetServices(names []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.services = names
+}
+
+// Run serves other hosts on a listener and keeps the links that duties need,
+// until ctx ends.
+func (m *Mesh) Run(ctx context.Context, l net.Listener) (err error) {
+	defer func() { err = errors.WithMessage(err, "run mesh") }()
+	mux := drpcmux.New()
+	if err := DRPCRegisterMesh(mux, &service{mesh: m}); err != nil {
+		return err
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	m.group, m.ctx = errgroup.WithContext(ctx)
+	m.started = m.clock.Now()
+	m.group.Go(func() error {
+		err := server.Serve(m.ctx, l)
+		if m.ctx.Err() != nil {
+			return nil
+		}
+		return err
+	})
+	m.group.Go(func() error {
+		for m.ctx.Err() == nil {
+			m.tick()
+			wagclock.Wait(m.ctx, m.clock, m.clock.Now().Add(tickTime))
+		}
+		return nil
+	})
+	return m.group.Wait()
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxFrame},
+		Stream: drpcstream.Options{MaximumBufferSize: keptBuffer},
+	}
+}
+
+// Leave tells all linked hosts that this one has no duties any more.
+func (m *Mesh) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.roster.Leave()
+	self := []*Member{memberMessage(m.roster.Self())}
+	for _, l := range m.allLinks() {
+		l.send(func(f *Frame) { f.Members = append(f.Members, self...) })
+	}
+}
+
+// Members returns the known hosts, this one first.
+func (m *Mesh) Members() []wagroster.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.roster.Members()
+}
+
+// allLinks returns the live links; m.mu is held.
+func (m *Mesh) allLinks() []*link {
+	var all []*link
+	for _, list := range m.links {
+		all = append(all, list...)
+	}
+	return all
+}
+
+// tick looks at the duties of this host and at its links.
+func (m *Mesh) tick() {
+	now := m.clock.Now()
+	m.mu.Lock()
+	upstream, hasUpstream := m.roster.Upstream(now)
+	self := m.roster.Self()
+	if hasUpstream {
+		m.ensure(now, upstream, true)
+	}
+	for _, service := range m.services {
+		if owner, ok := m.roster.Owner(now, service, self.DataCentre); ok && owner.Name != self.Name {
+			m.ensure(now, owner, false)
+		}
+	}
+	if len(m.roster.Members()) == 1 {
+		m.greetSeeds(now)
+	}
+	relay, _ := m.roster.Relay(now, self.DataCentre)
+	isRelay := relay.Name == self.Name
+	for _, l := range m.allLinks() {
+		l.tick(now)
+	}
+	m.mu.Unlock()
+	m.sync.Follow(m.ctx, m.mustFollow(now, hasUpstream, isRelay))
+}
+
+// mustFollow tells whether this host follows the store.
+func (m *Mesh) mustFollow(now time.Time, hasUpstream, isRelay bool) bool {
+	if now.Before(m.started.Add(startTime)) {
+		return false
+	}
+	if !hasUpstream {
+		return true
+	}
+	stale := hostStale
+	if isRelay {
+		stale = relayStale
+	}
+	heard := m.sync.HeardAt()
+	if heard.IsZero() {
+		heard = m.started
+	}
+	return now.Sub(heard) > stale
+}
+
+// greetSeeds asks the seeds for other hosts; m.mu is held.
+func (m *Mesh) greetSeeds(now time.Time) {
+	for _, seed := range m.seeds() {
+		if seed != m.roster.Self().Address {
+			m.open(now, seed, false)
+		}
+	}
+}
+
+// ensure opens a link to a member unless there is one that fits; m.mu is held.
+func (m *Mesh) ensure(now time.Time, to wagroster.Member, subscribe bool) {
+	for _, l := range m.links[to.Name] {
+		if !subscribe || l.upstream {
+			return
+		}
+	}
+	m.open(now, to.Address, subscribe)
+}
+
+// open begins to open a link unless that is under way or not due; m.mu is held.
+func (m *Mesh) open(now time.Time, to netip.AddrPort, subscribe bool) {
+	d, ok := m.dials[to]
+	if !ok {
+		d = &dial{}
+		m.dials[to] = d
+	}
+	if d.under || now.Before(d.next) {
+		return
+	}
+	d.under = true
+	d.next = now.Add(seedPause)
+	m.group.Go(func() error {
+		m.runOutbound(to, subscribe, d)
+		return nil
+	})
+}
+
+// linkTo returns the latest live link to a host; m.mu is held.
+func (m *Mesh) linkTo(name string) *link {
+	list := m.links[name]
+	if len(list) == 0 {
+		return nil
+	}
+	return list[len(list)-1]
+}
+
+// joined registers a link whose hello arrived; m.mu is held.
+func (m *Mesh) joined(l *link) {
+	m.links[l.peer.Name] = append(m.links[l.peer.Name], l)
+	changed := m.roster.Hear(l.peer)
+	members := memberMessages(m.roster.Members())
+	l.send(func(f *Frame) { f.Members = members })
+	if !changed {
+		return
+	}
+	news := []*Member{memberMessage(l.peer)}
+	for _, other := range m.allLinks() {
+		if other != l {
+			other.send(func(f *Frame) { f.Members = append(f.Members, news...) })
+		}
+	}
+}
+
+// left removes a link.
+func (m *Mesh) left(l *link) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := m.links[l.peer.Name]
+	for i, other := range list {
+		if other == l {
+			m.links[l.peer.Name] = append(list[:i:i], list[i+1:]...)
+		}
+	}
+	if len(m.links[l.peer.Name]) == 0 {
+		delete(m.links, l.peer.Name)
+		if l.peer.Name != "" && m.ctx.Err() == nil {
+			m.roster.Distrust(m.clock.Now(), l.peer.Name)
+		}
+	}
+}
+
+// learn takes what another host says of members and passes news on.
+func (m *Mesh) learn(from *link, list []*Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var news []*Member
+	for _, message := range list {
+		member, ok := memberOf(message)
+		if !ok {
+			continue
+		}
+		if member.Name == from.peer.Name {
+			if m.roster.Hear(member) {
+				news = append(news, message)
+			}
+			continue
+		}
+		if m.roster.Learn([]wagroster.Member{member}) {
+			news = append(news, message)
+		}
+	}
+	if len(news) == 0 {
+		return
+	}
+	for _, l := range m.allLinks() {
+		if l != from {
+			l.send(func(f *Frame) { f.Members = append(f.Members, news...) })
+		}
+	}
+}
+
+// Changed passes new states of objects to the hosts that learn from this one.
+func (m *Mesh) Changed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	complete := m.sync.Complete()
+	for _, l := range m.allLinks() {
+		l.push(complete)
+	}
+}
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 	"github.com/wagtailspar/wagtailspar/wagserver"
@@ -30,9 +32,17 @@
 func (Granted) isOutcome() {}
 func (Refused) isOutcome() {}
 
+// Prober asks a server for its report.
+type Prober interface {
+	Probe(ctx context.Context, server wagserver.Instance) wagplacement.Result
+}
+
 // Owner places requests on servers. It is safe for concurrent use.
 type Owner struct {
-	clock wagclock.Clock
+	clock  wagclock.Clock
+	prober Prober
+	// tasks runs the probes.
+	tasks errgroup.Group
 
 	mu     sync.Mutex
 	groups map[string]*group
@@ -43,9 +53,8 @@
 
 type group struct {
 	core *wagplacement.Core
-	// waiters holds a channel with room for one outcome for each request that
-	// waits.
-	waiters map[wagplacement.RequestID]chan Outcome
+	// waiters holds who is told the outcome of each request that waits.
+	waiters map[wagplacement.RequestID]func(Outcome)
 }
 
 // Option sets a property of an Owner.
@@ -55,8 +64,8 @@
 func WithClock(c wagclock.Clock) Option { return func(o *Owner) { o.clock = c } }
 
 // New returns an owner without servers.
-func New(opts ...Option) *Owner {
-	o := &Owner{clock: wagclock.System{}, groups: make(map[string]*group), wake: make(chan struct{}, 1)}
+func New(prober Prober, opts ...Option) *Owner {
+	o := &Owner{prober: prober, clock: wagclock.System{}, groups: make(map[string]*group), wake: make(chan struct{}, 1)}
 	for _, option := range opts {
 		option(o)
 	}
@@ -86,45 +95,68 @@
 func (o *Owner) group(service string) *group {
 	g, ok := o.groups[service]
 	if !ok {
-		g = &group{core: wagplacement.New(), waiters: make(map[wagplacement.RequestID]chan Outcome)}
+		g = &group{core: wagplacement.New(), waiters: make(map[wagplacement.RequestID]func(Outcome))}
 		o.groups[service] = g
 	}
 	return g
 }
 
-// Place returns a server for a request, after waiting for one if need be.
-func (o *Owner) Place(ctx context.Context, service string, r wagplacement.Request) Outcome {
+// Ticket stands for a request that was submitted.
+type Ticket struct {
+	owner *Owner
+	group *group
+	id    wagplacement.RequestID
+}
+
+// Submit asks for a server. reply is called once, unless the ticket is
+// cancelled before; it must not block or call the owner.
+func (o *Owner) Submit(service string, r wagplacement.Request, reply func(Outcome)) Ticket {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.next++
 	r.ID = o.next
 	g := o.group(service)
-	w := make(chan Outcome, 1)
-	g.waiters[r.ID] = w
+	g.waiters[r.ID] = reply
 	g.core.Submit(o.clock.Now(), r)
 	o.carryOut(g)
-	o.mu.Unlock()
-	select {
-	case x := <-w:
-		return x
-	case <-ctx.Done():
-	}
-	return o.abandon(g, r.ID, w)
+	return Ticket{owner: o, group: g, id: r.ID}
+}
+
+// Waiting tells whether the request has no reply yet.
+func (t Ticket) Waiting() bool {
+	t.owner.mu.Lock()
+	defer t.owner.mu.Unlock()
+	_, waits := t.group.waiters[t.id]
+	return waits
 }
 
-// abandon takes a request out of the queue. A slot that it was given in the
-// meantime is returned.
-func (o *Owner) abandon(g *group, id wagplacement.RequestID, w chan Outcome) Outcome {
+// Cancel takes a request out of the queue. It returns false when the reply was
+// given before.
+func (t Ticket) Cancel() bool {
+	o := t.owner
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if _, waits := t.group.waiters[t.id]; !waits {
+		return false
+	}
+	delete(t.group.waiters, t.id)
+	t.group.core.Cancel(o.clock.Now(), t.id)
+	return true
+}
+
+// Place returns a server for a request, after waiting for one if need be.
+func (o *Owner) Place(ctx context.Context, service string, r wagplacement.Request) Outcome {
+	w := make(chan Outcome, 1)
+	t := o.Submit(service, r, func(x Outcome) { w <- x })
 	select {
 	case x := <-w:
 		return x
-	default:
+	case <-ctx.Done():
 	}
-	delete(g.waiters, id)
-	now := o.clock.Now()
-	g.core.Cancel(now, id)
-	return Refused{Reason: wagplacement.ReasonDeadline, RetryAt: now}
+	if t.Cancel() {
+		return Refused{Reason: wagplacement.ReasonDeadline, RetryAt: o.clock.Now()}
+	}
+	return <-w
 }
 
 // carryOut executes what a core asks for; o.mu is held.
@@ -136,6 +168,10 @@
 		case wagplacement.Refuse:
 			g.answer(x.Request, Refused{Reason: x.Reason, RetryAt: x.RetryAt})
 		case wagplacement.Probe:
+			o.tasks.Go(func() error {
+				o.probe(g, x)
+				return nil
+			})
 		}
 	}
 	select {
@@ -145,12 +181,23 @@
 }
 
 func (g *group) answer(id wagplacement.RequestID, x Outcome) {
-	if w, ok := g.waiters[id]; ok {
+	if reply, ok := g.waiters[id]; ok {
 		delete(g.waiters, id)
-		w <- x
+		reply(x)
 	}
 }
 
+// probe asks a server for its report and passes it on.
+func (o *Owner) probe(g *group, p wagplacement.Probe) {
+	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
+	defer cancel()
+	r := o.prober.Probe(ctx, p.Server)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	g.core.Probed(o.clock.Now(), p.Server.ID, r)
+	o.carryOut(g)
+}
+
 func (o *Owner) finish(g *group, id wagplacement.RequestID, r wagplacement.Result) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -173,7 +220,7 @@
 		}
 		release()
 	}
-	return nil
+	return o.tasks.Wait()
 }
 
 // tick calls the cores that are due and returns when the next one is.
--- /dev/null
+++ b/wagplacement/choose.go
@@ -0,0 +1,146 @@
+package wagplacement
+
+import (
+	"time"
+)
+
+const (
+	// probeWidth is how many servers are probed at once for the requests that
+	// could start.
+	probeWidth = 2
+	// probeTime is how long the answer to a probe is waited for. Within a data
+	// centre it takes 0.5 ms.
+	probeTime = 30 * time.Millisecond
+	// retryPause is when the search for a server goes on that had to be given up.
+	retryPause = 10 * time.Millisecond
+	// coldWeight is what the slowness of a server counts compared with its load.
+	coldWeight = 0.3
+)
+
+// dispatch starts the requests that can start, asks for the reports that are
+// needed for others, and refuses those that came too late.
+func (c *Core) dispatch(now time.Time) {
+	c.wake = time.Time{}
+	c.waiting.sort(now)
+	var kept []*waiter
+	for _, w := range c.waiting.list {
+		if now.After(w.last()) {
+			c.refuse(w.ID, ReasonOverload, now)
+			continue
+		}
+		if s := c.choose(now, w); s != nil {
+			c.grant(now, w, s)
+			continue
+		}
+		kept = append(kept, w)
+		c.wakeAt(w.last())
+		if at := w.latest(); at.After(now) {
+			c.wakeAt(at)
+		}
+	}
+	c.waiting.list = kept
+	if len(kept) > 0 {
+		c.wakeAt(now.Add(retryPause))
+		c.probe(now, len(kept))
+	}
+	for _, g := range c.granted {
+		if !g.stuck {
+			c.wakeAt(g.at.Add(g.usual(stuckFactor)))
+		}
+	}
+}
+
+func (c *Core) wakeAt(at time.Time) {
+	if c.wake.IsZero() || at.Before(c.wake) {
+		c.wake = at
+	}
+}
+
+func (c *Core) grant(now time.Time, w *waiter, s *server) {
+	g := &grant{request: w.Request, server: s, route: w.route, at: now, slowness: s.slowness(now)}
+	s.running++
+	s.since++
+	g.nearlyFull = nearlyFull(s.occupied(now), s.Slots)
+	c.granted[w.ID] = g
+	c.commands = append(c.commands, Grant{Request: w.ID, Server: s.Instance})
+}
+
+// choose returns the server on which a request is to start now, or nil.
+func (c *Core) choose(now time.Time, w *waiter) *server {
+	isLate := late(now, w) == 1
+	var best *server
+	var least float64
+	n := len(c.order)
+	for i := range n {
+		s := c.order[(i+c.turn)%n]
+		if !s.usable(now, w.Avoid) || s.stuck > 1 {
+			continue
+		}
+		occupied := s.occupied(now)
+		if occupied >= c.knee.limit(s.Slots) {
+			continue
+		}
+		if !isLate && (!s.fresh(now) || s.reportsSlow(now)) {
+			continue
+		}
+		slowness := s.slowness(now)
+		expected := time.Duration(slowness * float64(w.route.work))
+		if !isLate && slowness > slowFrom && now.Add(expected).After(w.Goal) {
+			continue
+		}
+		if now.Add(expected).After(w.Deadline) {
+			continue
+		}
+		cost := float64(occupied)/float64(s.Slots) + coldWeight*(slowness-1)
+		if best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	if best != nil {
+		c.turn++
+	}
+	return best
+}
+
+// probe asks for reports of servers that could take waiting requests.
+func (c *Core) probe(now time.Time, waiting int) {
+	under := 0
+	for _, s := range c.order {
+		if s.probing {
+			under++
+		}
+	}
+	want := min(probeWidth*waiting, len(c.order)) - under
+	for range want {
+		s := c.nextProbe(now)
+		if s == nil {
+			return
+		}
+		s.probing = true
+		c.commands = append(c.commands, Probe{Server: s.Instance, Deadline: now.Add(probeTime)})
+	}
+}
+
+// nextProbe returns the server with room whose report would help most, or nil.
+func (c *Core) nextProbe(now time.Time) (best *server) {
+	least := 0.0
+	n := len(c.order)
+	for i := range n {
+		s := c.order[(i+c.turn)%n]
+		if s.probing || !s.usable(now, nil) || s.fresh(now) || s.reportsSlow(now) || s.stuck > 1 {
+			continue
+		}
+		occupied := s.occupied(now)
+		if occupied >= c.knee.limit(s.Slots) {
+			continue
+		}
+		cost := float64(occupied)/float64(s.Slots) + coldWeight*(s.base(now)-1)
+		if s.report.Slowness >= slowFrom {
+			cost += coldWeight
+		}
+		if best == nil || cost < least {
+			best, least = s, cost
+		}
+	}
+	return best
+}
--- a/wagplacement/core.go
+++ b/wagplacement/core.go
@@ -1,8 +1,6 @@
 package wagplacement
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/wagtailspar/wagtailspar/wagserver"
@@ -13,70 +11,69 @@
 type Core struct {
 	servers map[string]*server
 	// order holds the servers in the order of their IDs.
-	order []*server
-	// granted holds the requests that run.
+	order   []*server
+	routes  map[string]*route
 	granted map[RequestID]*grant
-	// waiting holds the requests that wait, in the order in which they start.
-	waiting  []*Request
+	waiting queue
+	budget  budget
+	// sharp tells whether the service's servers are taken to slow down when they
+	// are nearly full.
+	knee knee
+	// turn moves the start of the search on, so that equal servers take turns.
+	turn     int
 	commands []Command
+	// wake is when Tick has to be called next; zero when nothing waits.
+	wake time.Time
 }
 
-type server struct {
-	wagserver.Instance
-	running int
-	report  Report
-	// reportedAt is when report was made, zero before the first.
-	reportedAt time.Time
-	// excludedUntil is until when the server gets no work after failures.
-	excludedUntil time.Time
-	// failures counts the failures since the latest success.
-	failures int
-	// listed tells that the server may get work; others finish what they run.
-	listed bool
-}
-
+// grant is a request that runs on a server.
 type grant struct {
 	request Request
 	server  *server
+	route   *route
 	at      time.Time
+	// slowness is what the server told when the request was sent, and nearlyFull
+	// whether it was above the knee then.
+	slowness   float64
+	nearlyFull bool
+	// stuck tells that the request runs for much longer than usual.
+	stuck bool
 }
 
-// New returns a core without servers.
-func New() *Core {
-	return &Core{servers: make(map[string]*server), granted: make(map[RequestID]*grant)}
+// grantGrace is how long after its deadline a request that was granted is still
+// expected to finish. Hosts that end lose their grants.
+const grantGrace = 2 * time.Second
+
+// Option sets a property of a Core.
+type Option func(*Core)
+
+// WithBudget bounds the repeats of requests: in any window, a ratio of the
+// requests and a slack.
+func WithBudget(ratio, slack float64, window time.Duration) Option {
+	return func(c *Core) { c.budget = newBudget(ratio, slack, window) }
 }
 
-// SetServers replaces the servers that may get work.
-func (c *Core) SetServers(now time.Time, list []wagserver.Instance) {
-	for _, s := range c.servers {
-		s.listed = false
+// New returns a core without servers.
+func New(opts ...Option) *Core {
+	c := &Core{
+		servers: make(map[string]*server), routes: make(map[string]*route), granted: make(map[RequestID]*grant),
+		budget: newBudget(defaultRatio, defaultSlack, defaultWindow),
 	}
-	for _, i := range list {
-		s, ok := c.servers[i.ID]
-		if !ok || !s.Started.Equal(i.Started) {
-			s = &server{}
-			c.servers[i.ID] = s
-		}
-		s.Instance, s.listed = i, true
+	for _, o := range opts {
+		o(c)
 	}
-	c.order = c.order[:0]
-	for id, s := range c.servers {
-		if !s.listed && s.running == 0 {
-			delete(c.servers, id)
-			continue
-		}
-		c.order = append(c.order, s)
-	}
-	slices.SortFunc(c.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
-	c.dispatch(now)
+	return c
 }
 
 // Submit takes a request that needs a server.
 func (c *Core) Submit(now time.Time, r Request) {
-	c.waiting = append(c.waiting, &r)
-	slices.SortStableFunc(c.waiting, func(a, b *Request) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.Deadline.Compare(b.Deadline))
-	})
+	if !r.Repeat {
+		c.budget.first(now)
+	} else if !c.budget.take(now) {
+		c.refuse(r.ID, ReasonBudget, now)
+		return
+	}
+	c.waiting.add(&waiter{Request: r, route: c.route(r.Route, r.Goal.Sub(now)), since: now})
 	c.dispatch(now)
 }
 
@@ -86,42 +83,63 @@
 	if !ok {
 		return
 	}
-	delete(c.granted, id)
-	s := g.server
-	s.running--
-	if r.HasReport {
-		s.report, s.reportedAt = r.Report, now
-	}
-	switch r.Fault {
-	case FaultNone:
-		s.failures = 0
-	case FaultCanceled:
-	default:
-		s.failures++
-		s.excludedUntil = now.Add(min(time.Duration(s.failures)*500*time.Millisecond, 5*time.Second))
+	c.release(g)
+	g.server.observe(now, g, r)
+	if r.Fault == FaultNone {
+		c.learn(g, r.Took)
 	}
 	c.dispatch(now)
 }
 
-// Cancel removes a waiting request whose caller went away.
-func (c *Core) Cancel(_ time.Time, id RequestID) {
-	c.waiting = slices.DeleteFunc(c.waiting, func(r *Request) bool { return r.ID == id })
+// release takes a request off its server.
+func (c *Core) release(g *grant) {
+	delete(c.granted, g.request.ID)
+	g.server.running--
+	if g.stuck {
+		g.server.stuck--
+	}
+	if !g.server.listed && g.server.running == 0 {
+		delete(c.servers, g.server.ID)
+	}
 }
 
-// Tick refuses requests whose deadline passed and starts those that can run.
-func (c *Core) Tick(now time.Time) { c.dispatch(now) }
+// Cancel removes a waiting request whose caller went away.
+func (c *Core) Cancel(_ time.Time, id RequestID) { c.waiting.remove(id) }
 
-// NextWake returns when Tick has to be called, or the zero time.
-func (c *Core) NextWake() time.Time {
-	var next time.Time
-	for _, r := range c.waiting {
-		if next.IsZero() || r.Deadline.Before(next) {
-			next = r.Deadline
+// Probed takes the answer to a probe.
+func (c *Core) Probed(now time.Time, serverID string, r Result) {
+	s, ok := c.servers[serverID]
+	if !ok {
+		return
+	}
+	s.probing = false
+	s.probed(now, r)
+	c.dispatch(now)
+}
+
+// Tick does what is due.
+func (c *Core) Tick(now time.Time) {
+	for _, g := range c.granted {
+		if now.After(g.request.Deadline.Add(grantGrace)) {
+			c.release(g)
+			continue
+		}
+		if !g.stuck && now.Sub(g.at) > g.usual(stuckFactor) {
+			g.stuck = true
+			g.server.stuck++
 		}
 	}
-	return next
+	c.dispatch(now)
 }
 
+// usual returns a multiple of the time that the request was expected to take.
+func (g *grant) usual(times float64) time.Duration {
+	return time.Duration(times * g.slowness * float64(g.route.work))
+}
+
+// NextWake returns when Tick has to be called, or the zero time.
+func (c *Core) NextWake() time.Time { return c.wake }
+
 // Commands returns and clears what the core asks for.
 func (c *Core) Commands() []Command {
 	list := c.commands
@@ -129,48 +147,28 @@
 	return list
 }
 
-func (c *Core) dispatch(now time.Time) {
-	kept := c.waiting[:0]
-	for _, r := range c.waiting {
-		if !r.Deadline.After(now) {
-			c.commands = append(c.commands, Refuse{Request: r.ID, Reason: ReasonDeadline, RetryAt: now})
-			continue
-		}
-		s := c.choose(now, r)
-		if s == nil {
-			kept = append(kept, r)
-			continue
-		}
-		s.running++
-		c.granted[r.ID] = &grant{request: *r, server: s, at: now}
-		c.commands = append(c.commands, Grant{Request: r.ID, Server: s.Instance})
-	}
-	c.waiting = kept
+func (c *Core) refuse(id RequestID, reason Reason, retryAt time.Time) {
+	c.commands = append(c.commands, Refuse{Request: id, Reason: reason, RetryAt: retryAt})
 }
 
-// choose returns the server with the least expected time, or nil.
-func (c *Core) choose(now time.Time, r *Request) *server {
-	var best *server
-	var least float64
-	for _, s := range c.order {
-		if !s.listed || s.State != wagserver.Live || s.running >= s.Slots || s.excludedUntil.After(now) || slices.Contains(r.Avoid, s.ID) {
-			continue
-		}
-		cost := s.cost(now)
-		if best == nil || cost < least {
-			best, least = s, cost
-		}
+// SetServers replaces the servers that may get work.
+func (c *Core) SetServers(now time.Time, list []wagserver.Instance) {
+	for _, s := range c.servers {
+		s.listed = false
 	}
-	return best
-}
-
-func (s *server) cost(now time.Time) float64 {
-	cost := 1 + float64(s.running)/float64(s.Slots)
-	if now.Sub(s.reportedAt) < 100*time.Millisecond && s.report.Slowness > 0 {
-		cost *= s.report.Slowness
+	for _, i := range list {
+		s, ok := c.servers[i.ID]
+		if !ok || !s.Started.Equal(i.Started) || s.Address != i.Address {
+			s = &server{}
+			c.servers[i.ID] = s
+		}
+		s.Instance, s.listed = i, true
 	}
-	if s.ColdUntil.After(now) {
-		cost *= 2
+	for id, s := range c.servers {
+		if !s.listed && s.running == 0 {
+			delete(c.servers, id)
+		}
 	}
-	return cost
+	c.sortServers()
+	c.dispatch(now)
 }
--- /dev/null
+++ b/wagplacement/servers.go
@@ -0,0 +1,164 @@
+package wagplacement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wagtailspar/wagtailspar/wagserver"
+)
+
+const (
+	// freshTime is the age up to which a report stands for the present. Servers
+	// share their machines, and their speed changes many times a second: of 100
+	// reports that are 5 ms old about 1 is wrong.
+	freshTime = 5 * time.Millisecond
+	// slowPause is how long a server that reported to be slow is not probed again.
+	// Neighbours keep a machine busy for a tenth of a second or more.
+	slowPause = 25 * time.Millisecond
+	// slowFrom is the slowness from which a server counts as slow.
+	slowFrom = 1.5
+	// coldSlowness is how much longer work takes at a server that has just started,
+	// until it was measured.
+	coldSlowness = 2.0
+	// rejectPause is how long a server that rejected a request as full gets no other.
+	rejectPause = 20 * time.Millisecond
+	// stuckFactor is the multiple of the usual time from which a request counts as
+	// stuck. About 3 in 100 requests take seven times as long as the others.
+	stuckFactor = 4
+	// firstExclusion and maxExclusion bound how long a server gets no work after
+	// failures in a row.
+	firstExclusion = 300 * time.Millisecond
+	maxExclusion   = 5 * time.Second
+	// paceWeight is the weight of one request in the pace of a server.
+	paceWeight = 0.3
+	// maxPace bounds what one request says of the pace; requests vary by that much.
+	maxPace = 8.0
+)
+
+// server is what a Core knows of one start of a server.
+type server struct {
+	wagserver.Instance
+	// listed tells that the server may get work; others finish what they run.
+	listed bool
+	// running counts the requests that this core granted.
+	running int
+	// stuck counts those of them that run for much longer than usual.
+	stuck int
+	// report is what the server said of itself at reportedAt; zero before.
+	report     Report
+	reportedAt time.Time
+	// since counts the requests granted after the report.
+	since   int
+	probing bool
+	// pace is how long requests take compared with what the reports led to expect;
+	// 0 before the first.
+	pace float64
+	// failures counts the failures since the latest success, and excludedUntil is
+	// until when the server gets no work because of them.
+	failures      int
+	excludedUntil time.Time
+	// rejectedUntil is until when the server is taken to be full.
+	rejectedUntil time.Time
+}
+
+func (c *Core) sortServers() {
+	c.order = c.order[:0]
+	for _, s := range c.servers {
+		if s.listed {
+			c.order = append(c.order, s)
+		}
+	}
+	slices.SortFunc(c.order, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// occupied estimates the requests at the server. Other hosts may have sent some
+// that this core does not know of.
+func (s *server) occupied(now time.Time) int {
+	if now.Sub(s.reportedAt) > rejectPause {
+		return s.running
+	}
+	return max(s.running, s.report.Running+s.report.Waiting+s.since)
+}
+
+// usable tells whether the server may get work at all.
+func (s *server) usable(now time.Time, avoid []string) bool {
+	return s.listed && s.State == wagserver.Live && !s.excludedUntil.After(now) && !s.rejectedUntil.After(now) && !slices.Contains(avoid, s.ID)
+}
+
+// fresh tells whether the latest report stands for the present.
+func (s *server) fresh(now time.Time) bool {
+	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= freshTime
+}
+
+// reportsSlow tells whether the server said lately that work takes long.
+func (s *server) reportsSlow(now time.Time) bool {
+	return s.report.Slowness >= slowFrom && now.Sub(s.reportedAt) < slowPause
+}
+
+// slowness estimates how much longer work takes than usual, the noise of the
+// latest report included.
+func (s *server) slowness(now time.Time) float64 {
+	x := max(s.report.Slowness, 1)
+	if now.Sub(s.reportedAt) > slowPause {
+		x = 1
+	}
+	return x * s.base(now)
+}
+
+// base is the slowness apart from what reports tell.
+func (s *server) base(now time.Time) float64 {
+	x := max(s.pace, 1)
+	if s.pace == 0 && s.ColdUntil.After(now) {
+		x = coldSlowness
+	}
+	return x
+}
+
+// observe takes the end of a request.
+func (s *server) observe(now time.Time, g *grant, r Result) {
+	if r.HasReport {
+		s.take(now, r.Report)
+	}
+	switch r.Fault {
+	case FaultNone:
+		s.failures = 0
+		ratio := min(float64(r.Took)/max(float64(g.usual(1)), 1), maxPace)
+		if s.pace == 0 {
+			s.pace = 1
+		}
+		s.pace += paceWeight * (ratio - s.pace)
+	case FaultCanceled:
+	case FaultRejected:
+		s.rejectedUntil = now.Add(rejectPause)
+	default:
+		s.fail(now)
+	}
+}
+
+// probed takes the answer to a probe.
+func (s *server) probed(now time.Time, r Result) {
+	if r.HasReport {
+		s.take(now, r.Report)
+	}
+	switch r.Fault {
+	case FaultNone, FaultCanceled, FaultError:
+		// Health checks lie either way, so that only answers to requests count.
+	case FaultRejected:
+		s.rejectedUntil = now.Add(rejectPause)
+	default:
+		s.fail(now)
+	}
+}
+
+func (s *server) take(now time.Time, r Report) {
+	s.report, s.reportedAt, s.since = r, now, 0
+	if r.Slowness == 0 {
+		s.report.Slowness = 1
+	}
+}
+
+func (s *server) fail(now time.Time) {
+	s.excludedUntil = now.Add(min(firstExclusion<<min(s.failures, 8), maxExclusion))
+	s.failures++
+}
--- /dev/null
+++ b/wagroster/wagroster.go
@@ -0,0 +1,220 @@
+// Package wagroster holds what a host knows of the other hosts of its site, and
+// chooses from it which host has which duty. All hosts choose alike as far as
+// they know the same hosts. It does no input or output.
+package wagroster
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/wagtailspar/wagtailspar/waglease"
+)
+
+// Member is one host of the site.
+type Member struct {
+	Name       string
+	DataCentre string
+	// Generation differs between two starts of a host. Clocks can be set back, so
+	// that a later start may have a lower one.
+	Generation uint64
+	// Address is where other hosts connect to.
+	Address netip.AddrPort
+	// Leaving hosts finish what they began and have no duties.
+	Leaving bool
+}
+
+const (
+	// firstDistrust is how long a host that did not answer gets no duty.
+	firstDistrust = 2 * time.Second
+	// maxDistrust bounds that time, which doubles at each failure in a row.
+	maxDistrust = 30 * time.Second
+	// maxMembers bounds the members that are kept. The largest planned site has
+	// 1,500 hosts.
+	maxMembers = 4096
+)
+
+// Roster holds the members of a site. It is not safe for concurrent use.
+type Roster struct {
+	self    Member
+	members map[string]*entry
+}
+
+type entry struct {
+	Member
+	// distrustedUntil is until when the host gets no duty, because it did not
+	// answer.
+	distrustedUntil time.Time
+	// failures counts the failures in a row.
+	failures int
+}
+
+// New returns a roster that knows only the host itself.
+func New(self Member) *Roster {
+	return &Roster{self: self, members: make(map[string]*entry)}
+}
+
+// Self returns the host itself.
+func (r *Roster) Self() Member { return r.self }
+
+// Leave marks the host itself as leaving.
+func (r *Roster) Leave() { r.self.Leaving = true }
+
+// Hear takes what a member says of itself, which counts more than what others
+// say. It tells whether that is new.
+func (r *Roster) Hear(m Member) bool {
+	if m.Name == r.self.Name || m.Name == "" {
+		return false
+	}
+	e, ok := r.members[m.Name]
+	if !ok && len(r.members) >= maxMembers {
+		return false
+	}
+	if !ok {
+		e = &entry{}
+		r.members[m.Name] = e
+	}
+	changed := e.Member != m
+	e.Member = m
+	if !m.Leaving {
+		e.failures, e.distrustedUntil = 0, time.Time{}
+	}
+	return changed
+}
+
+// Learn takes what a member says of others, and tells whether any of it is new.
+func (r *Roster) Learn(list []Member) (changed bool) {
+	for _, m := range list {
+		e, ok := r.members[m.Name]
+		older := ok && (m.Generation < e.Generation || m.Generation == e.Generation && (e.Leaving || !m.Leaving))
+		if older || m.Name == r.self.Name || m.Name == "" || !ok && len(r.members) >= maxMembers {
+			continue
+		}
+		if !ok {
+			e = &entry{}
+			r.members[m.Name] = e
+		}
+		if m.Generation != e.Generation {
+			e.failures, e.distrustedUntil = 0, time.Time{}
+		}
+		e.Member = m
+		changed = true
+	}
+	return changed
+}
+
+// Distrust notes that a member did not answer.
+func (r *Roster) Distrust(now time.Time, name string) {
+	e, ok := r.members[name]
+	if !ok {
+		return
+	}
+	e.distrustedUntil = now.Add(min(firstDistrust<<min(e.failures, 8), maxDistrust))
+	e.failures++
+}
+
+// Trust notes that a member answers.
+func (r *Roster) Trust(name string) {
+	if e, ok := r.members[name]; ok {
+		e.failures, e.distrustedUntil = 0, time.Time{}
+	}
+}
+
+// Members returns all members, the host itself first.
+func (r *Roster) Members() []Member {
+	list := []Member{r.self}
+	for _, e := range r.members {
+		list = append(list, e.Member)
+	}
+	slices.SortFunc(list[1:], func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Find returns a member by its name.
+func (r *Roster) Find(name string) (Member, bool) {
+	if name == r.self.Name {
+		return r.self, true
+	}
+	e, ok := r.members[name]
+	if !ok {
+		return Member{}, false
+	}
+	return e.Member, true
+}
+
+// Owner returns the member of a data centre that has a duty, or false when none
+// is known that could have it.
+func (r *Roster) Owner(now time.Time, duty, dataCentre string) (owner Member, ok bool) {
+	item := duty + "/" + dataCentre
+	var best uint64
+	consider := func(m Member) {
+		if m.DataCentre != dataCentre || m.Leaving {
+			return
+		}
+		score := waglease.Score(item, m.Name)
+		if !ok || score > best || score == best && m.Name < owner.Name {
+			owner, best, ok = m, score, true
+		}
+	}
+	consider(r.self)
+	for _, e := range r.members {
+		if !now.Before(e.distrustedUntil) {
+			consider(e.Member)
+		}
+	}
+	return owner, ok
+}
+
+// DutyRelay is the duty of the host through which the others of its data centre
+// learn of changes.
+const DutyRelay = "relay"
+
+// Relay returns the host from which the others of a data centre learn of changes.
+func (r *Roster) Relay(now time.Time, dataCentre string) (Member, bool) {
+	return r.Owner(now, DutyRelay, dataCentre)
+}
+
+// Lead returns the relay that follows the store for the whole site.
+func (r *Roster) Lead(now time.Time) (lead Member) {
+	lead = r.self
+	found := false
+	var best uint64
+	for _, dataCentre := range r.DataCentres() {
+		m, ok := r.Relay(now, dataCentre)
+		if !ok {
+			continue
+		}
+		if score := waglease.Score("lead", dataCentre); !found || score > best {
+			lead, best, found = m, score, true
+		}
+	}
+	return lead
+}
+
+// Upstream returns the host from which this one learns of changes, or false when
+// it follows the store itself.
+func (r *Roster) Upstream(now time.Time) (Member, bool) {
+	relay, ok := r.Relay(now, r.self.DataCentre)
+	if ok && relay.Name != r.self.Name {
+		return relay, true
+	}
+	if lead := r.Lead(now); lead.Name != r.self.Name {
+		return lead, true
+	}
+	return Member{}, false
+}
+
+// DataCentres returns the data centres that have members, in order.
+func (r *Roster) DataCentres() []string {
+	seen := map[string]bool{r.self.DataCentre: true}
+	list := []string{r.self.DataCentre}
+	for _, e := range r.members {
+		if !seen[e.DataCentre] {
+			seen[e.DataCentre] = true
+			list = append(list, e.DataCentre)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -1,4 +1,5 @@
-// Package wagsync keeps the mirror of a host in step with the platform's store.
+// Package wagsync keeps a host's copy of the objects of the platform's store. The
+// host follows the store itself, or takes changes from other hosts.
 package wagsync
 
 import (
@@ -21,28 +22,50 @@
 	// watchTime is how long one watch waits; the platform permits 30 s. Silent
 	// connections are found by keep-alive probes before.
 	watchTime = 25 * time.Second
-	// pause is the least time between two watches of a kind, so that a series of
-	// changes costs few calls. It is a tenth of the time within which a change
+	// watchPause is the least time between two watches of a kind, so that a series
+	// of changes costs few calls. It is a tenth of the time within which a change
 	// has to be in force.
-	pause = 200 * time.Millisecond
+	watchPause = 200 * time.Millisecond
 	// firstRetry and lastRetry bound the pauses while the store fails.
-	firstRetry = 100 * time.Millisecond
-	lastRetry  = 800 * time.Millisecond
+	firstRetry = 150 * time.Millisecond
+	lastRetry  = time.Second
 )
 
-// Changed is told the records that changed. It is called in the order of the
-// changes of a kind, one call at a time.
+// Changed is told the records that changed, one call at a time.
 type Changed func(records []wagmirror.Record)
 
-// Sync follows the store.
+// Sync holds the copy. It is safe for concurrent use.
 type Sync struct {
 	store   wagmirror.Store
 	clock   wagclock.Clock
 	log     logrus.FieldLogger
 	changed Changed
+	// wake is signalled when following begins.
+	wake chan struct{}
 
 	mu     sync.Mutex
 	mirror *wagmirror.Mirror
+	// following is set while this host follows the store; stop ends the calls
+	// that are under way.
+	following context.Context
+	stop      context.CancelFunc
+	// kinds holds the state of following each kind.
+	kinds map[string]*followed
+	// heard is when another host last knew the copy to be complete.
+	heard time.Time
+}
+
+// followed is the state of following one kind.
+type followed struct {
+	// listed tells that the copy is complete up to its revision, so that a watch
+	// continues it.
+	listed bool
+	// watching tells that a watch is under way, which confirms the copy until it
+	// fails.
+	watching bool
+	// confirmed is when the latest call ended well.
+	confirmed time.Time
+	failing   bool
 }
 
 // Option sets a property of a Sync.
@@ -54,88 +77,237 @@
 // WithLog replaces the standard logger.
 func WithLog(l logrus.FieldLogger) Option { return func(s *Sync) { s.log = l } }
 
-// New returns a Sync of some kinds of objects.
+// New returns an empty copy of some kinds of objects.
 func New(store wagmirror.Store, changed Changed, kinds []string, opts ...Option) *Sync {
-	s := &Sync{store: store, clock: wagclock.System{}, log: logrus.StandardLogger(), changed: changed, mirror: wagmirror.New(kinds...)}
+	s := &Sync{
+		store: store, clock: wagclock.System{}, log: logrus.StandardLogger(), changed: changed,
+		wake: make(chan struct{}), mirror: wagmirror.New(kinds...), kinds: make(map[string]*followed),
+	}
+	for _, kind := range kinds {
+		s.kinds[kind] = &followed{}
+	}
 	for _, o := range opts {
 		o(s)
 	}
 	return s
 }
 
-// Run follows the store until ctx ends.
+// Follow sets whether this host follows the store.
+func (s *Sync) Follow(ctx context.Context, follow bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if follow == (s.following != nil) {
+		return
+	}
+	if !follow {
+		s.stop()
+		s.following = nil
+		s.log.Info("the store is followed by another host")
+		return
+	}
+	s.following, s.stop = context.WithCancel(ctx)
+	for kind, f := range s.kinds {
+		// A watch continues from what other hosts told.
+		f.listed = s.mirror.Complete(kind) > 0
+	}
+	close(s.wake)
+	s.wake = make(chan struct{})
+	s.log.Info("this host follows the store")
+}
+
+// Run follows the store whenever that is wanted, until ctx ends.
 func (s *Sync) Run(ctx context.Context) error {
 	var g errgroup.Group
-	for _, kind := range s.mirror.Kinds() {
+	for kind, f := range s.kinds {
 		g.Go(func() error {
-			s.follow(ctx, kind)
+			for ctx.Err() == nil {
+				if following := s.awaitFollowing(ctx); following != nil {
+					s.follow(following, kind, f)
+				}
+			}
 			return nil
 		})
 	}
 	return g.Wait()
 }
 
-// follow keeps one kind in step.
-func (s *Sync) follow(ctx context.Context, kind string) {
+// awaitFollowing returns the context under which the store is followed.
+func (s *Sync) awaitFollowing(ctx context.Context) context.Context {
+	s.mu.Lock()
+	following, wake := s.following, s.wake
+	s.mu.Unlock()
+	if following != nil {
+		return following
+	}
+	select {
+	case <-wake:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// follow keeps one kind in step until ctx ends.
+func (s *Sync) follow(ctx context.Context, kind string, f *followed) {
 	retries := backoff.NewExponentialBackOff()
 	retries.InitialInterval, retries.MaxInterval, retries.RandomizationFactor = firstRetry, lastRetry, 0
-	complete := false
-	lost := false
 	for ctx.Err() == nil {
 		began := s.clock.Now()
-		err := s.step(ctx, kind, &complete)
-		if err == nil {
-			if lost {
-				s.log.WithField("kind", kind).Info("the store answers again")
-			}
-			lost = false
-			retries.Reset()
-			wagclock.Wait(ctx, s.clock, began.Add(pause))
-			continue
-		}
+		err := s.step(ctx, kind, f)
+		s.mu.Lock()
+		f.watching = false
+		s.mu.Unlock()
 		if ctx.Err() != nil {
 			return
 		}
-		if errors.Is(err, wagstore.ErrGap) {
-			complete = false
-		}
-		if !lost {
-			s.log.WithError(err).WithField("kind", kind).Warning("the store does not answer")
+		if err == nil {
+			s.succeeded(kind, f)
+			retries.Reset()
+			wagclock.Wait(ctx, s.clock, began.Add(watchPause))
+			continue
 		}
-		lost = true
+		s.failed(kind, f, err)
 		wait := retries.NextBackOff()
 		wagclock.Wait(ctx, s.clock, s.clock.Now().Add(wait/2+rand.N(wait/2)))
 	}
 }
 
-func (s *Sync) step(ctx context.Context, kind string, complete *bool) error {
-	if !*complete {
+func (s *Sync) succeeded(kind string, f *followed) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.confirmed = s.clock.Now()
+	if f.failing {
+		s.log.WithField("kind", kind).Info("the store answers again")
+	}
+	f.failing = false
+}
+
+func (s *Sync) failed(kind string, f *followed, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(err, wagstore.ErrGap) {
+		f.listed = false
+	}
+	if !f.failing {
+		s.log.WithError(err).WithField("kind", kind).Warning("the store does not answer")
+	}
+	f.failing = true
+}
+
+// step makes one call to the store.
+func (s *Sync) step(ctx context.Context, kind string, f *followed) error {
+	s.mu.Lock()
+	listed, after := f.listed, s.mirror.Complete(kind)
+	// A watch that follows a failure does not confirm anything while it waits.
+	f.watching = listed && !f.failing
+	s.mu.Unlock()
+	if !listed {
 		u, err := s.store.List(ctx, kind)
 		if err != nil {
 			return err
 		}
-		s.apply(u)
-		*complete = true
+		s.Apply(u)
+		s.mu.Lock()
+		f.listed = true
+		s.mu.Unlock()
 		return nil
 	}
+	until := s.clock.Now().Add(watchTime)
 	s.mu.Lock()
-	after := s.mirror.Complete(kind)
+	if f.failing {
+		until = s.clock.Now()
+	}
 	s.mu.Unlock()
-	u, err := s.store.Watch(ctx, kind, after, s.clock.Now().Add(watchTime))
+	u, err := s.store.Watch(ctx, kind, after, until)
 	if err != nil {
 		return err
 	}
-	s.apply(u)
+	s.Apply(u)
 	return nil
 }
 
-func (s *Sync) apply(u wagmirror.Update) {
+// Apply takes an update of the store or of another host. It returns false when
+// changes before it are missing.
+func (s *Sync) Apply(u wagmirror.Update) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	records, _ := s.mirror.Apply(u)
+	records, ok := s.mirror.Apply(u)
 	if len(records) > 0 {
 		s.changed(records)
 	}
+	return ok
+}
+
+// Heard notes that another host knew the copy to be complete at a time.
+func (s *Sync) Heard(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.heard) {
+		s.heard = at
+	}
+}
+
+// Confirmed returns when the copy was last known to be complete, or the zero
+// time.
+func (s *Sync) Confirmed() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return later(s.ownLocked(), s.heard)
+}
+
+// HeardAt returns when another host last knew the copy to be complete, or the
+// zero time.
+func (s *Sync) HeardAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heard
+}
+
+// ownLocked returns the earliest confirmation of all kinds; s.mu is held.
+func (s *Sync) ownLocked() (own time.Time) {
+	first := true
+	for _, f := range s.kinds {
+		at := f.confirmed
+		if f.watching && s.following != nil {
+			at = s.clock.Now()
+		}
+		if first || at.Before(own) {
+			own = at
+		}
+		first = false
+	}
+	return own
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// Following tells whether this host follows the store.
+func (s *Sync) Following() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.following != nil
+}
+
+// Complete returns the revision up to which all changes of each kind are known.
+func (s *Sync) Complete() map[string]wagmirror.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	complete := make(map[string]wagmirror.Revision)
+	for kind := range s.kinds {
+		complete[kind] = s.mirror.Complete(kind)
+	}
+	return complete
+}
+
+// Since returns what a copy lacks that is complete up to a revision.
+func (s *Sync) Since(kind string, after wagmirror.Revision) wagmirror.Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mirror.Since(kind, after)
 }
 
 // Live returns the objects of a kind that exist.
