wagsync: Find changes that a compacting store keeps back

Also one link carried either placements or changes, so that hosts followed the store themselves, and the loss of one packet made hosts distrust an owner. Ruled out: watches of 0.6 s for all kinds, which double the calls. Change: watches of the configuration wait 0.6 s; when the store's revision moves, other kinds are watched as closely for 1.5 s, always from the revision last told. A subscription can begin and end on any link. A host decides itself while an owner is stalled.

--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -45,12 +45,12 @@
 	mesh *Mesh
 	// peer is set with the hello and never changes.
 	peer wagroster.Member
+	cancel context.CancelCauseFunc
+
+	mu sync.Mutex
 	// upstream tells that this host learns of changes on the link, subscribed
 	// that the other one does.
 	upstream, subscribed bool
-	cancel               context.CancelCauseFunc
-
-	mu sync.Mutex
 	// pending is what is to be sent next; nil when nothing is.
 	pending *Frame
 	ready   chan struct{}
@@ -67,6 +67,9 @@
 	// that have a server.
 	taken   map[uint64]wagowner.Ticket
 	granted map[uint64]func(wagplacement.Result)
+	// stalled tells that the other host did not take note of a request in time and
+	// was not heard since.
+	stalled bool
 	closed  bool
 }
 
@@ -107,8 +110,8 @@
 }
 
 // runOutbound opens a link and runs it until it ends.
-func (m *Mesh) runOutbound(to netip.AddrPort, subscribe bool, d *dial) {
-	err := m.outbound(to, subscribe, d)
+func (m *Mesh) runOutbound(to netip.AddrPort, d *dial) {
+	err := m.outbound(to, d)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d.under = false
@@ -127,7 +130,7 @@
 	}
 }
 
-func (m *Mesh) outbound(to netip.AddrPort, subscribe bool, d *dial) error {
+func (m *Mesh) outbound(to netip.AddrPort, d *dial) error {
 	dialer := net.Dialer{Timeout: dialTime}
 	raw, err := dialer.DialContext(m.ctx, "tcp", to.String())
 	m.mu.Lock()
@@ -148,15 +151,13 @@
 	if err != nil {
 		return err
 	}
-	l := m.newLink(cancel)
-	l.upstream = subscribe
-	return m.run(ctx, l, s)
+	return m.run(ctx, m.newLink(cancel), s)
 }
 
 // run exchanges frames until the link ends.
 func (m *Mesh) run(ctx context.Context, l *link, s stream) error {
 	m.mu.Lock()
-	hello := &Hello{Self: memberMessage(m.roster.Self()), Subscribe: l.upstream}
+	hello := &Hello{Self: memberMessage(m.roster.Self())}
 	m.mu.Unlock()
 	l.send(func(f *Frame) { f.Hello = hello })
 	defer l.end()
@@ -223,7 +224,7 @@
 	if !ok {
 		return errNoHello
 	}
-	l.peer, l.subscribed = peer, f.GetHello().GetSubscribe()
+	l.peer = peer
 	l.mesh.mu.Lock()
 	if l.mesh.ctx.Err() != nil {
 		l.mesh.mu.Unlock()
@@ -247,7 +248,7 @@
 	m := l.mesh
 	now := m.clock.Now()
 	l.mu.Lock()
-	l.heard = now
+	l.heard, l.stalled = now, false
 	l.mu.Unlock()
 	for _, p := range f.GetPlaced() {
 		l.placed(now, p)
@@ -264,6 +265,11 @@
 	if len(f.GetMembers()) > 0 {
 		m.learn(l, f.GetMembers())
 	}
+	if f.Subscribe != nil {
+		l.mu.Lock()
+		l.subscribed, l.nextBeat = f.GetSubscribe(), now
+		l.mu.Unlock()
+	}
 	for _, u := range f.GetUpdates() {
 		l.update(updateOf(u))
 	}
@@ -272,9 +278,27 @@
 	}
 }
 
+// subscribe sets whether this host learns of changes on the link.
+func (l *link) subscribe(want bool) {
+	l.mu.Lock()
+	l.upstream = want
+	l.sendLocked(func(f *Frame) { f.Subscribe = &want })
+	l.mu.Unlock()
+	if want {
+		l.sendBeat(l.mesh.clock.Now())
+	}
+}
+
+// synced tells whether changes pass on the link.
+func (l *link) synced() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.upstream || l.subscribed
+}
+
 // update takes changes of objects.
 func (l *link) update(u wagmirror.Update) {
-	if !l.upstream && !l.subscribed {
+	if !l.synced() {
 		return
 	}
 	if !l.mesh.sync.Apply(u) {
@@ -295,7 +319,10 @@
 	l.mu.Unlock()
 	complete := l.mesh.sync.Complete()
 	l.push(complete)
-	if b.ConfirmedAge == nil || !l.upstream {
+	l.mu.Lock()
+	upstream := l.upstream
+	l.mu.Unlock()
+	if b.ConfirmedAge == nil || !upstream {
 		return
 	}
 	for _, c := range b.GetComplete() {
@@ -309,11 +336,11 @@
 
 // push sends the changes that the other host lacks.
 func (l *link) push(complete map[string]wagmirror.Revision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if !l.upstream && !l.subscribed {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	for kind, revision := range complete {
 		known := l.known[kind]
 		if revision <= known {
@@ -343,15 +370,21 @@
 		l.cancel(errSilent)
 		return
 	}
-	if !due {
-		return
+	if due {
+		l.sendBeat(now)
 	}
+}
+
+// sendBeat tells the other host that this one is there, and what it knows of the
+// store.
+func (l *link) sendBeat(now time.Time) {
+	s := l.mesh.sync
 	b := &Beat{}
-	if l.upstream || l.subscribed {
-		for kind, revision := range m.sync.Complete() {
+	if l.synced() {
+		for kind, revision := range s.Complete() {
 			b.Complete = append(b.Complete, &Complete{Kind: kind, Revision: uint64(revision)})
 		}
-		if at := m.sync.Confirmed(); !at.IsZero() {
+		if at := s.Confirmed(); !at.IsZero() {
 			age := uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
 			b.ConfirmedAge = &age
 		}
--- a/wagmesh/place.go
+++ b/wagmesh/place.go
@@ -6,18 +6,12 @@
 
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
-	"github.com/wagtailspar/wagtailspar/wagroster"
 )
 
-const (
-	// ackTime is how long an owner may take to take note of a request. Within a
-	// data centre the round trip is below 1 ms, and an owner decides or takes note
-	// at once.
-	ackTime = 40 * time.Millisecond
-	// maxOwners bounds the owners that are asked for one request before this host
-	// decides itself.
-	maxOwners = 2
-)
+// ackTime is how long an owner may take to take note of a request. Within a data
+// centre the round trip is below 1 ms, and an owner decides or takes note at
+// once; a packet that is lost is sent again after 200 ms.
+const ackTime = 40 * time.Millisecond
 
 // asked is a request that was placed at another host.
 type asked struct {
@@ -31,57 +25,39 @@
 }
 
 // Place returns a server for a request from the owner of the server group, after
-// waiting for one if need be. When owners do not answer, this host decides.
+// waiting for one if need be. While the owner does not answer, this host decides
+// itself.
 func (m *Mesh) Place(ctx context.Context, service string, r wagplacement.Request) wagowner.Outcome {
-	for range maxOwners {
-		l, owner := m.ownerLink(ctx, service)
-		if owner.Name == "" {
-			break
+	if l := m.ownerLink(service); l != nil {
+		if x := l.ask(ctx, service, r); x != nil {
+			return x
 		}
-		if l != nil {
-			if x := l.ask(ctx, service, r); x != nil {
-				return x
-			}
-			if ctx.Err() != nil {
-				return wagowner.Refused{Reason: wagplacement.ReasonDeadline, RetryAt: m.clock.Now()}
-			}
+		if ctx.Err() != nil {
+			return wagowner.Refused{Reason: wagplacement.ReasonDeadline, RetryAt: m.clock.Now()}
 		}
-		m.mu.Lock()
-		m.roster.Distrust(m.clock.Now(), owner.Name)
-		m.mu.Unlock()
-		m.log.WithField("owner", owner.Name).WithField("service", service).Info("the owner does not answer")
 	}
 	return m.owner.Place(ctx, service, r)
 }
 
-// ownerLink returns the owner of a group with a link to it, or no owner when this
+// ownerLink returns a link to the owner of a group that answers, or nil when this
 // host decides itself.
-func (m *Mesh) ownerLink(ctx context.Context, service string) (*link, wagroster.Member) {
-	until := m.clock.Now().Add(ackTime)
-	for {
-		m.mu.Lock()
-		now := m.clock.Now()
-		self := m.roster.Self()
-		owner, ok := m.roster.Owner(now, service, self.DataCentre)
-		if !ok || owner.Name == self.Name {
-			m.mu.Unlock()
-			return nil, wagroster.Member{}
-		}
-		l := m.linkTo(owner.Name)
-		if l == nil {
-			m.ensure(now, owner, false)
-		}
-		m.mu.Unlock()
-		if l != nil || now.After(until) || ctx.Err() != nil {
-			return l, owner
-		}
-		fired, release := m.clock.At(now.Add(2 * time.Millisecond))
-		select {
-		case <-ctx.Done():
-		case <-fired:
-		}
-		release()
+func (m *Mesh) ownerLink(service string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.clock.Now()
+	owner, ok := m.roster.Owner(now, service, m.roster.Self().DataCentre)
+	if !ok || owner.Name == m.roster.Self().Name {
+		return nil
+	}
+	l := m.linkTo(owner.Name)
+	if l == nil {
+		m.ensure(now, owner)
+		return nil
+	}
+	if l.isStalled() {
+		return nil
 	}
+	return l
 }
 
 // ask places a request at the other host. It returns nil when the host does not
@@ -109,6 +85,7 @@
 		case <-noted:
 			noted, fired = nil, nil
 		case <-fired:
+			l.stall()
 			return l.withdraw(id, a)
 		case <-a.lost:
 			return nil
@@ -118,6 +95,23 @@
 	}
 }
 
+// stall notes that the other host does not answer for now. The next frame from it
+// ends that.
+func (l *link) stall() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.stalled {
+		l.mesh.log.WithField("host", l.peer.Name).Info("the owner does not answer; this host decides")
+	}
+	l.stalled = true
+}
+
+func (l *link) isStalled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stalled
+}
+
 // withdraw gives up a request that was placed at the other host.
 func (l *link) withdraw(id uint64, a *asked) wagowner.Outcome {
 	l.mu.Lock()
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -72,6 +72,8 @@
 	// dials holds the hosts to which a connection is being opened, and when one
 	// may be tried again.
 	dials map[netip.AddrPort]*dial
+	// upstream is the link on which this host learns of changes, or nil.
+	upstream *link
 	// services are the services that this host may need owners of.
 	services []string
 	started  time.Time
@@ -185,12 +187,10 @@
 	m.mu.Lock()
 	upstream, hasUpstream := m.roster.Upstream(now)
 	self := m.roster.Self()
-	if hasUpstream {
-		m.ensure(now, upstream, true)
-	}
+	m.subscribe(now, upstream, hasUpstream)
 	for _, service := range m.services {
 		if owner, ok := m.roster.Owner(now, service, self.DataCentre); ok && owner.Name != self.Name {
-			m.ensure(now, owner, false)
+			m.ensure(now, owner)
 		}
 	}
 	if len(m.roster.Members()) == 1 {
@@ -228,23 +228,40 @@
 func (m *Mesh) greetSeeds(now time.Time) {
 	for _, seed := range m.seeds() {
 		if seed != m.roster.Self().Address {
-			m.open(now, seed, false)
+			m.open(now, seed)
 		}
 	}
 }
 
-// ensure opens a link to a member unless there is one that fits; m.mu is held.
-func (m *Mesh) ensure(now time.Time, to wagroster.Member, subscribe bool) {
-	for _, l := range m.links[to.Name] {
-		if !subscribe || l.upstream {
-			return
+// subscribe keeps the subscription of changes at the upstream host; m.mu is held.
+func (m *Mesh) subscribe(now time.Time, upstream wagroster.Member, want bool) {
+	var to *link
+	if want {
+		if to = m.linkTo(upstream.Name); to == nil {
+			m.open(now, upstream.Address)
 		}
 	}
-	m.open(now, to.Address, subscribe)
+	if to == m.upstream || to == nil && want {
+		return
+	}
+	if m.upstream != nil {
+		m.upstream.subscribe(false)
+	}
+	m.upstream = to
+	if to != nil {
+		to.subscribe(true)
+	}
+}
+
+// ensure opens a link to a member unless there is one; m.mu is held.
+func (m *Mesh) ensure(now time.Time, to wagroster.Member) {
+	if m.linkTo(to.Name) == nil {
+		m.open(now, to.Address)
+	}
 }
 
 // open begins to open a link unless that is under way or not due; m.mu is held.
-func (m *Mesh) open(now time.Time, to netip.AddrPort, subscribe bool) {
+func (m *Mesh) open(now time.Time, to netip.AddrPort) {
 	d, ok := m.dials[to]
 	if !ok {
 		d = &dial{}
@@ -256,7 +273,7 @@
 	d.under = true
 	d.next = now.Add(seedPause)
 	m.group.Go(func() error {
-		m.runOutbound(to, subscribe, d)
+		m.runOutbound(to, d)
 		return nil
 	})
 }
@@ -297,6 +314,9 @@
 			m.links[l.peer.Name] = append(list[:i:i], list[i+1:]...)
 		}
 	}
+	if m.upstream == l {
+		m.upstream = nil
+	}
 	if len(m.links[l.peer.Name]) == 0 {
 		delete(m.links, l.peer.Name)
 		if l.peer.Name != "" && m.ctx.Err() == nil {
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -19,9 +19,18 @@
 )
 
 const (
-	// watchTime is how long one watch waits; the platform permits 30 s. Silent
-	// connections are found by keep-alive probes before.
+	// watchTime is how long a watch waits while nothing is known to have changed;
+	// the platform permits 30 s. Silent connections are found by keep-alive probes
+	// before.
 	watchTime = 25 * time.Second
+	// pulseTime is how long a watch waits that shows whether the store has changed.
+	// A store that drops its history was seen to keep changes from waiting watches
+	// for a second and longer; a watch that begins later shows the gap. Changes
+	// have to be in force within 2 s.
+	pulseTime = 600 * time.Millisecond
+	// settleTime is how long short watches go on after a change of the store, so
+	// that a change that was kept back is found.
+	settleTime = 1500 * time.Millisecond
 	// watchPause is the least time between two watches of a kind, so that a series
 	// of changes costs few calls. It is a tenth of the time within which a change
 	// has to be in force.
@@ -49,8 +58,12 @@
 	// that are under way.
 	following context.Context
 	stop      context.CancelFunc
-	// kinds holds the state of following each kind.
+	// kinds holds the state of following each kind. pulse is the kind whose watches
+	// are short.
 	kinds map[string]*followed
+	pulse string
+	// head is the latest revision of the store that an answer told.
+	head wagmirror.Revision
 	// heard is when another host last knew the copy to be complete.
 	heard time.Time
 }
@@ -66,6 +79,12 @@
 	// confirmed is when the latest call ended well.
 	confirmed time.Time
 	failing   bool
+	// restless is until when watches are short, because the store has changed.
+	restless time.Time
+	// seen is the head for which restless was set.
+	seen wagmirror.Revision
+	// cut ends the watch that is under way.
+	cut context.CancelFunc
 }
 
 // Option sets a property of a Sync.
@@ -77,11 +96,12 @@
 // WithLog replaces the standard logger.
 func WithLog(l logrus.FieldLogger) Option { return func(s *Sync) { s.log = l } }
 
-// New returns an empty copy of some kinds of objects.
+// New returns an empty copy of some kinds of objects. The first kind is watched
+// most closely.
 func New(store wagmirror.Store, changed Changed, kinds []string, opts ...Option) *Sync {
 	s := &Sync{
 		store: store, clock: wagclock.System{}, log: logrus.StandardLogger(), changed: changed,
-		wake: make(chan struct{}), mirror: wagmirror.New(kinds...), kinds: make(map[string]*followed),
+		wake: make(chan struct{}), mirror: wagmirror.New(kinds...), kinds: make(map[string]*followed), pulse: kinds[0],
 	}
 	for _, kind := range kinds {
 		s.kinds[kind] = &followed{}
@@ -211,20 +231,64 @@
 		s.mu.Unlock()
 		return nil
 	}
-	until := s.clock.Now().Add(watchTime)
-	s.mu.Lock()
-	if f.failing {
-		until = s.clock.Now()
-	}
-	s.mu.Unlock()
-	u, err := s.store.Watch(ctx, kind, after, until)
+	u, err := s.watch(ctx, kind, f, after)
 	if err != nil {
 		return err
 	}
+	if len(u.Records) == 0 {
+		// Changes may have been kept back, so that the next watch begins at the same
+		// revision again.
+		u.At = after
+	}
 	s.Apply(u)
 	return nil
 }
 
+// watch makes one watch.
+func (s *Sync) watch(ctx context.Context, kind string, f *followed, after wagmirror.Revision) (wagmirror.Update, error) {
+	watching, cut := context.WithCancel(ctx)
+	defer cut()
+	s.mu.Lock()
+	now := s.clock.Now()
+	until := now.Add(watchTime)
+	switch {
+	case f.failing:
+		until = now
+	case kind == s.pulse || now.Before(f.restless):
+		until = now.Add(pulseTime)
+	default:
+		f.cut = cut
+	}
+	s.mu.Unlock()
+	u, err := s.store.Watch(watching, kind, after, until)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.cut = nil
+	if err != nil && watching.Err() != nil && ctx.Err() == nil {
+		// A short watch follows.
+		return wagmirror.Update{Kind: kind, Since: after, At: after}, nil
+	}
+	if err == nil {
+		s.advance(u.At)
+	}
+	return u, err
+}
+
+// advance notes the revision of the store. Kinds that did not tell of a change
+// up to it are watched closely for a while; s.mu is held.
+func (s *Sync) advance(head wagmirror.Revision) {
+	s.head = max(s.head, head)
+	for kind, f := range s.kinds {
+		if f.seen >= s.head || s.mirror.Complete(kind) >= s.head {
+			continue
+		}
+		f.seen, f.restless = s.head, s.clock.Now().Add(settleTime)
+		if f.cut != nil {
+			f.cut()
+		}
+	}
+}
+
 // Apply takes an update of the store or of another host. It returns false when
 // changes before it are missing.
 func (s *Sync) Apply(u wagmirror.Update) bool {
