wagplacement: Admit by expected wait and spill to other data centres

Change: a request waits only if a start in time is expected; otherwise another data centre is asked, which grants at once or not at all, and then it is refused with the time when room is expected. Hosts tell when they do not reach the store; the next relay follows it then. Conclusion: refused early, requests come back while room is there.

--- a/waghost/site.go
+++ b/waghost/site.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,13 +85,14 @@
 		o(s)
 	}
 	s.upstream = wagupstream.NewPool(objects.IDHeader())
-	s.owner = wagowner.New(&prober{site: s, protocol: protocol}, wagowner.WithClock(s.clock))
+	s.owner = wagowner.New(settings.DataCentre, &prober{site: s, protocol: protocol}, wagowner.WithClock(s.clock))
 	s.sync = wagsync.New(store, s.apply, objects.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log))
 	self := wagroster.Member{
 		Name: settings.Name, DataCentre: settings.DataCentre, Generation: uint64(s.clock.Now().UnixMilli()), Address: settings.Peers,
 	}
 	s.mesh = wagmesh.New(self, s.sync, s.owner, wagmesh.WithClock(s.clock), wagmesh.WithLog(s.log),
 		wagmesh.WithSeeds(func() []netip.AddrPort { return settings.Seeds }))
+	s.owner.SetRemote(s.mesh.PlaceRemote)
 	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log))
 	return s
 }
@@ -138,14 +141,9 @@
 	s.log.WithField("version", uint64(c.Version)).Info("configuration in force")
 }
 
-// updateServers passes the servers of this data centre on; s.mu is held.
+// updateServers passes the servers on; s.mu is held.
 func (s *Site) updateServers() {
-	var list []wagserver.Instance
-	for _, i := range s.servers {
-		if i.DataCentre == s.settings.DataCentre {
-			list = append(list, i)
-		}
-	}
+	list := slices.Collect(maps.Values(s.servers))
 	s.owner.SetServers(list)
 }
 
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -22,6 +22,8 @@
 	// dialTime bounds opening a connection to another host. The farthest link of a
 	// region has a round trip of 11 ms; a lost packet is sent again after 1 s.
 	dialTime = 1500 * time.Millisecond
+	// maxDialPause bounds the pause after failures in a row.
+	maxDialPause = 5 * time.Second
 	// maxPending bounds the messages that wait to be sent on one link. A host
 	// that does not read is given up.
 	maxPending = 4096
@@ -122,7 +124,7 @@
 	if d.failures == 0 {
 		return
 	}
-	d.next = m.clock.Now().Add(min(seedPause*time.Duration(d.failures), 10*time.Second))
+	d.next = m.clock.Now().Add(min(dialPause*time.Duration(d.failures), maxDialPause))
 	for _, member := range m.roster.Members() {
 		if member.Address == to {
 			m.roster.Distrust(m.clock.Now(), member.Name)
@@ -319,10 +321,8 @@
 	l.mu.Unlock()
 	complete := l.mesh.sync.Complete()
 	l.push(complete)
-	l.mu.Lock()
-	upstream := l.upstream
-	l.mu.Unlock()
-	if b.ConfirmedAge == nil || !upstream {
+	l.mesh.sight(now, l.peer.Name, b.GetBlind())
+	if b.ConfirmedAge == nil || !l.synced() {
 		return
 	}
 	for _, c := range b.GetComplete() {
@@ -360,7 +360,7 @@
 		every = farBeat
 	}
 	l.mu.Lock()
-	silent := now.Sub(l.heard) > missedBeats*every
+	silent := now.Sub(l.heard) > silentTime
 	due := !now.Before(l.nextBeat)
 	if due {
 		l.nextBeat = now.Add(every)
@@ -379,7 +379,7 @@
 // store.
 func (l *link) sendBeat(now time.Time) {
 	s := l.mesh.sync
-	b := &Beat{}
+	b := &Beat{Blind: s.Blind()}
 	if l.synced() {
 		for kind, revision := range s.Complete() {
 			b.Complete = append(b.Complete, &Complete{Kind: kind, Revision: uint64(revision)})
--- a/wagmesh/message.go
+++ b/wagmesh/message.go
@@ -55,14 +55,14 @@
 func placeMessage(id uint64, now time.Time, service string, r wagplacement.Request) *Place {
 	return &Place{
 		Id: id, Service: service, Route: r.Route, Rank: uint32(max(r.Rank, 0)), GoalLeft: int32(r.Goal.Sub(now).Milliseconds()),
-		DeadlineLeft: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)), Avoid: r.Avoid, Repeat: r.Repeat,
+		DeadlineLeft: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)), Avoid: r.Avoid, Repeat: r.Repeat, Foreign: r.Foreign,
 	}
 }
 
 func requestOf(m *Place, now time.Time) wagplacement.Request {
 	return wagplacement.Request{
 		Route: m.GetRoute(), Rank: int(m.GetRank()), Goal: now.Add(milliseconds(int64(m.GetGoalLeft()))),
-		Deadline: now.Add(milliseconds(int64(m.GetDeadlineLeft()))), Avoid: m.GetAvoid(), Repeat: m.GetRepeat(),
+		Deadline: now.Add(milliseconds(int64(m.GetDeadlineLeft()))), Avoid: m.GetAvoid(), Repeat: m.GetRepeat(), Foreign: m.GetForeign(),
 	}
 }
 
--- a/wagmesh/place.go
+++ b/wagmesh/place.go
@@ -28,7 +28,7 @@
 // waiting for one if need be. While the owner does not answer, this host decides
 // itself.
 func (m *Mesh) Place(ctx context.Context, service string, r wagplacement.Request) wagowner.Outcome {
-	if l := m.ownerLink(service); l != nil {
+	if l := m.ownerLink(service, m.self.DataCentre); l != nil {
 		if x := l.ask(ctx, service, r); x != nil {
 			return x
 		}
@@ -39,14 +39,24 @@
 	return m.owner.Place(ctx, service, r)
 }
 
+// PlaceRemote returns a server of another data centre, or nil when its owner does
+// not answer.
+func (m *Mesh) PlaceRemote(ctx context.Context, dataCentre, service string, r wagplacement.Request) wagowner.Outcome {
+	l := m.ownerLink(service, dataCentre)
+	if l == nil {
+		return nil
+	}
+	return l.ask(ctx, service, r)
+}
+
 // ownerLink returns a link to the owner of a group that answers, or nil when this
 // host decides itself.
-func (m *Mesh) ownerLink(service string) *link {
+func (m *Mesh) ownerLink(service, dataCentre string) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	owner, ok := m.roster.Owner(now, service, m.roster.Self().DataCentre)
-	if !ok || owner.Name == m.roster.Self().Name {
+	owner, ok := m.roster.Owner(now, service, dataCentre)
+	if !ok || owner.Name == m.self.Name {
 		return nil
 	}
 	l := m.linkTo(owner.Name)
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -31,15 +31,16 @@
 	// nearBeat and farBeat are the times between two beats within a data centre
 	// and between two of them, where bytes are dear.
 	nearBeat = 250 * time.Millisecond
-	farBeat  = time.Second
-	// missedBeats is after how many beats without a frame a link is given up.
-	missedBeats = 4
-	// seedPause is the time between two attempts to reach a seed while no other
-	// host is known.
-	seedPause = 500 * time.Millisecond
+	farBeat  = 350 * time.Millisecond
+	// silentTime is after how long without a frame a link is given up. Another host
+	// has to follow the store in time for a change to be in force within 2 s.
+	silentTime = 1200 * time.Millisecond
+	// dialPause is the time between two attempts to reach a host, for each failure.
+	dialPause = 200 * time.Millisecond
 	// startTime is how long a start waits for other hosts before it follows the
-	// store itself. All hosts of a site start within 0.3 s.
-	startTime = 700 * time.Millisecond
+	// store itself. All hosts of a site start within 0.3 s, and again after a
+	// failure of all within about that.
+	startTime = time.Second
 	// relayStale and hostStale are how old the confirmation of the copy may be
 	// before a relay, or another host, follows the store itself.
 	relayStale = 2500 * time.Millisecond
@@ -60,6 +61,8 @@
 	sync  *wagsync.Sync
 	owner *wagowner.Owner
 	seeds func() []netip.AddrPort
+	// self is this host as it was at the start.
+	self wagroster.Member
 	// group runs the links until the mesh ends.
 	group *errgroup.Group
 	ctx   context.Context
@@ -74,6 +77,8 @@
 	dials map[netip.AddrPort]*dial
 	// upstream is the link on which this host learns of changes, or nil.
 	upstream *link
+	// blind is what the other hosts were told of this host's sight of the store.
+	blind bool
 	// services are the services that this host may need owners of.
 	services []string
 	started  time.Time
@@ -104,7 +109,7 @@
 func New(self wagroster.Member, s *wagsync.Sync, o *wagowner.Owner, opts ...Option) *Mesh {
 	m := &Mesh{
 		clock: wagclock.System{}, log: logrus.StandardLogger(), sync: s, owner: o, seeds: func() []netip.AddrPort { return nil },
-		roster: wagroster.New(self), links: make(map[string][]*link), dials: make(map[netip.AddrPort]*dial),
+		self: self, roster: wagroster.New(self), links: make(map[string][]*link), dials: make(map[netip.AddrPort]*dial),
 	}
 	for _, option := range opts {
 		option(m)
@@ -198,6 +203,7 @@
 	}
 	relay, _ := m.roster.Relay(now, self.DataCentre)
 	isRelay := relay.Name == self.Name
+	m.lookOut(now)
 	for _, l := range m.allLinks() {
 		l.tick(now)
 	}
@@ -205,6 +211,33 @@
 	m.sync.Follow(m.ctx, m.mustFollow(now, hasUpstream, isRelay))
 }
 
+// lookOut notes whether this host reaches the store, and tells the others at once
+// when that changes; m.mu is held.
+func (m *Mesh) lookOut(now time.Time) {
+	blind := m.sync.Blind()
+	if blind {
+		m.roster.Blind(now, m.roster.Self().Name)
+	} else if m.sync.Following() {
+		m.roster.Sighted(m.roster.Self().Name)
+	}
+	if blind == m.blind {
+		return
+	}
+	m.blind = blind
+	for _, l := range m.allLinks() {
+		l.sendBeat(now)
+	}
+}
+
+// sight notes whether another host reaches the store.
+func (m *Mesh) sight(now time.Time, name string, blind bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if blind {
+		m.roster.Blind(now, name)
+	}
+}
+
 // mustFollow tells whether this host follows the store.
 func (m *Mesh) mustFollow(now time.Time, hasUpstream, isRelay bool) bool {
 	if now.Before(m.started.Add(startTime)) {
@@ -271,7 +304,7 @@
 		return
 	}
 	d.under = true
-	d.next = now.Add(seedPause)
+	d.next = now.Add(dialPause)
 	m.group.Go(func() error {
 		m.runOutbound(to, d)
 		return nil
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,11 +39,21 @@
 	Probe(ctx context.Context, server wagserver.Instance) wagplacement.Result
 }
 
+// Remote asks the owner in another data centre for a server. It returns nil when
+// that does not answer.
+type Remote func(ctx context.Context, dataCentre, service string, r wagplacement.Request) Outcome
+
+// spillPause is how long a data centre is not asked again that did not answer.
+const spillPause = 500 * time.Millisecond
+
 // Owner places requests on servers. It is safe for concurrent use.
 type Owner struct {
 	clock  wagclock.Clock
 	prober Prober
-	// tasks runs the probes.
+	remote Remote
+	// dataCentre is the one whose servers the owner places requests on.
+	dataCentre string
+	// tasks runs the probes and the calls to other data centres.
 	tasks errgroup.Group
 
 	mu     sync.Mutex
@@ -52,7 +64,8 @@
 }
 
 type group struct {
-	core *wagplacement.Core
+	service string
+	core    *wagplacement.Core
 	// waiters holds who is told the outcome of each request that waits.
 	waiters map[wagplacement.RequestID]func(Outcome)
 }
@@ -64,28 +77,48 @@
 func WithClock(c wagclock.Clock) Option { return func(o *Owner) { o.clock = c } }
 
 // New returns an owner without servers.
-func New(prober Prober, opts ...Option) *Owner {
-	o := &Owner{prober: prober, clock: wagclock.System{}, groups: make(map[string]*group), wake: make(chan struct{}, 1)}
+func New(dataCentre string, prober Prober, opts ...Option) *Owner {
+	o := &Owner{
+		dataCentre: dataCentre, prober: prober, remote: func(context.Context, string, string, wagplacement.Request) Outcome { return nil },
+		clock: wagclock.System{}, groups: make(map[string]*group), wake: make(chan struct{}, 1),
+	}
 	for _, option := range opts {
 		option(o)
 	}
 	return o
 }
 
-// SetServers replaces the servers of all services.
+// SetRemote sets what asks other data centres. It is called before Run.
+func (o *Owner) SetRemote(r Remote) { o.remote = r }
+
+// SetServers replaces the servers of all services, in all data centres.
 func (o *Owner) SetServers(list []wagserver.Instance) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	services := make(map[string][]wagserver.Instance)
+	remotes := make(map[string]map[string]bool)
 	for name := range o.groups {
 		services[name] = nil
 	}
 	for _, i := range list {
-		services[i.Service] = append(services[i.Service], i)
+		if i.DataCentre == o.dataCentre {
+			services[i.Service] = append(services[i.Service], i)
+			continue
+		}
+		if remotes[i.Service] == nil {
+			remotes[i.Service] = make(map[string]bool)
+		}
+		remotes[i.Service][i.DataCentre] = true
+	}
+	for name := range remotes {
+		if _, ok := services[name]; !ok {
+			services[name] = nil
+		}
 	}
 	now := o.clock.Now()
 	for name, servers := range services {
 		g := o.group(name)
+		g.core.SetRemotes(slices.Sorted(maps.Keys(remotes[name])))
 		g.core.SetServers(now, servers)
 		o.carryOut(g)
 	}
@@ -95,7 +128,7 @@
 func (o *Owner) group(service string) *group {
 	g, ok := o.groups[service]
 	if !ok {
-		g = &group{core: wagplacement.New(), waiters: make(map[wagplacement.RequestID]func(Outcome))}
+		g = &group{service: service, core: wagplacement.New(), waiters: make(map[wagplacement.RequestID]func(Outcome))}
 		o.groups[service] = g
 	}
 	return g
@@ -167,6 +200,11 @@
 			g.answer(x.Request, Granted{Server: x.Server, Finish: func(r wagplacement.Result) { o.finish(g, x.Request, r) }})
 		case wagplacement.Refuse:
 			g.answer(x.Request, Refused{Reason: x.Reason, RetryAt: x.RetryAt})
+		case wagplacement.Spill:
+			o.tasks.Go(func() error {
+				o.spill(g, x)
+				return nil
+			})
 		case wagplacement.Probe:
 			o.tasks.Go(func() error {
 				o.probe(g, x)
@@ -187,6 +225,34 @@
 	}
 }
 
+// spill asks another data centre for a server.
+func (o *Owner) spill(g *group, x wagplacement.Spill) {
+	ctx, cancel := context.WithDeadline(context.Background(), x.Request.Deadline)
+	defer cancel()
+	foreign := x.Request
+	foreign.Foreign = true
+	outcome := o.remote(ctx, x.DataCentre, g.service, foreign)
+	o.mu.Lock()
+	now := o.clock.Now()
+	granted, ok := outcome.(Granted)
+	taken := ok && g.core.Taken(now, x.Request.ID)
+	switch {
+	case taken:
+		g.answer(x.Request.ID, granted)
+	case !ok:
+		until := now.Add(spillPause)
+		if refused, is := outcome.(Refused); is {
+			until = refused.RetryAt
+		}
+		g.core.SpillRefused(now, x.Request.ID, x.DataCentre, until)
+	}
+	o.carryOut(g)
+	o.mu.Unlock()
+	if ok && !taken {
+		granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+	}
+}
+
 // probe asks a server for its report and passes it on.
 func (o *Owner) probe(g *group, p wagplacement.Probe) {
 	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
--- a/wagplacement/choose.go
+++ b/wagplacement/choose.go
@@ -25,9 +25,15 @@
 	var kept []*waiter
 	for _, w := range c.waiting.list {
 		if now.After(w.last()) {
-			c.refuse(w.ID, ReasonOverload, now)
+			c.refuse(w.ID, ReasonOverload, now.Add(minRetry))
 			continue
 		}
+		if !w.late && w.isLate(now) {
+			w.late = true
+			if !c.admit(now, w) {
+				continue
+			}
+		}
 		if s := c.choose(now, w); s != nil {
 			c.grant(now, w, s)
 			continue
@@ -67,7 +73,7 @@
 
 // choose returns the server on which a request is to start now, or nil.
 func (c *Core) choose(now time.Time, w *waiter) *server {
-	isLate := late(now, w) == 1
+	isLate := w.isLate(now)
 	var best *server
 	var least float64
 	n := len(c.order)
--- a/wagplacement/core.go
+++ b/wagplacement/core.go
@@ -16,9 +16,9 @@
 	granted map[RequestID]*grant
 	waiting queue
 	budget  budget
-	// sharp tells whether the service's servers are taken to slow down when they
-	// are nearly full.
-	knee knee
+	load    load
+	knee    knee
+	remotes []remote
 	// turn moves the start of the search on, so that equal servers take turns.
 	turn     int
 	commands []Command
@@ -57,7 +57,7 @@
 func New(opts ...Option) *Core {
 	c := &Core{
 		servers: make(map[string]*server), routes: make(map[string]*route), granted: make(map[RequestID]*grant),
-		budget: newBudget(defaultRatio, defaultSlack, defaultWindow),
+		budget: newBudget(defaultRatio, defaultSlack, defaultWindow), load: load{slow: firstSlowShare},
 	}
 	for _, o := range opts {
 		o(c)
@@ -73,7 +73,13 @@
 		c.refuse(r.ID, ReasonBudget, now)
 		return
 	}
-	c.waiting.add(&waiter{Request: r, route: c.route(r.Route, r.Goal.Sub(now)), since: now})
+	w := &waiter{Request: r, route: c.route(r.Route, r.Goal.Sub(now))}
+	if !w.isLate(now) {
+		c.load.arrived(now)
+	}
+	if c.admit(now, w) {
+		c.waiting.add(w)
+	}
 	c.dispatch(now)
 }
 
@@ -85,6 +91,12 @@
 	}
 	c.release(g)
 	g.server.observe(now, g, r)
+	if r.HasReport {
+		c.load.reported(g.server.report.Slowness >= slowFrom)
+	}
+	if r.Fault != FaultConnect && r.Fault != FaultRejected && r.Fault != FaultGone {
+		c.load.held(now.Sub(g.at))
+	}
 	if r.Fault == FaultNone {
 		c.learn(g, r.Took)
 	}
@@ -114,6 +126,9 @@
 	}
 	s.probing = false
 	s.probed(now, r)
+	if r.HasReport {
+		c.load.reported(s.report.Slowness >= slowFrom)
+	}
 	c.dispatch(now)
 }
 
--- a/wagplacement/queue.go
+++ b/wagplacement/queue.go
@@ -10,7 +10,13 @@
 type waiter struct {
 	Request
 	route *route
-	since time.Time
+	// asking tells that another data centre is asked for a server, and asked holds
+	// those that were.
+	asking bool
+	asked  []string
+	// late tells that the request was admitted although it cannot be answered by
+	// its goal.
+	late bool
 }
 
 // latest returns the latest start with which an answer is expected by the goal.
@@ -23,6 +29,11 @@
 	return w.Deadline.Add(-w.route.expected())
 }
 
+// isLate tells whether the request cannot be answered by its goal any more.
+func (w *waiter) isLate(now time.Time) bool { return now.After(w.latest()) }
+
+func (w *waiter) refusedBy(dataCentre string) bool { return slices.Contains(w.asked, dataCentre) }
+
 // queue holds the requests that wait.
 type queue struct {
 	list []*waiter
@@ -30,22 +41,46 @@
 
 func (q *queue) add(w *waiter) { q.list = append(q.list, w) }
 
-func (q *queue) remove(id RequestID) {
+// remove takes a request out and tells whether it was there.
+func (q *queue) remove(id RequestID) bool {
+	n := len(q.list)
 	q.list = slices.DeleteFunc(q.list, func(w *waiter) bool { return w.ID == id })
+	return len(q.list) < n
+}
+
+func (q *queue) find(id RequestID) *waiter {
+	for _, w := range q.list {
+		if w.ID == id {
+			return w
+		}
+	}
+	return nil
 }
 
-// sort orders the requests: those that can still be answered by their goal come
+// compare orders two requests: those that can still be answered by their goal come
 // first, then the urgent ones, then those whose start is due earlier.
-func (q *queue) sort(now time.Time) {
-	slices.SortStableFunc(q.list, func(a, b *waiter) int {
-		return cmp.Or(late(now, a)-late(now, b), cmp.Compare(a.Rank, b.Rank), a.latest().Compare(b.latest()))
-	})
+func compare(now time.Time, a, b *waiter) int {
+	return cmp.Or(lateness(now, a)-lateness(now, b), cmp.Compare(a.Rank, b.Rank), a.latest().Compare(b.latest()))
 }
 
-// late returns 1 for a request that cannot be answered by its goal any more.
-func late(now time.Time, w *waiter) int {
-	if now.After(w.latest()) {
+func lateness(now time.Time, w *waiter) int {
+	if w.isLate(now) {
 		return 1
 	}
 	return 0
 }
+
+// sort orders the requests as they are to start.
+func (q *queue) sort(now time.Time) {
+	slices.SortStableFunc(q.list, func(a, b *waiter) int { return compare(now, a, b) })
+}
+
+// ahead counts the requests that start before another.
+func (q *queue) ahead(now time.Time, w *waiter) (n int) {
+	for _, other := range q.list {
+		if other != w && compare(now, other, w) <= 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/wagplacement/wagplacement.go
+++ b/wagplacement/wagplacement.go
@@ -28,9 +28,12 @@
 	// Repeat tells that the request was sent to a server before, so that it draws
 	// on the retry budget.
 	Repeat bool
+	// Foreign tells that the request comes from another data centre, so that it is
+	// to start at once or not at all.
+	Foreign bool
 }
 
-// Command is what a Core asks for: Grant, Refuse or Probe.
+// Command is what a Core asks for: Grant, Refuse, Probe or Spill.
 type Command interface{ isCommand() }
 
 // Grant gives a request a slot of a server. Finished has to follow.
@@ -54,6 +57,14 @@
 	Deadline time.Time
 }
 
+// Spill asks for a server of another data centre, because none of this one has
+// room in time. The request goes on waiting. Taken or SpillRefused has to follow.
+type Spill struct {
+	Request    Request
+	DataCentre string
+}
+
+func (Spill) isCommand()  {}
 func (Grant) isCommand()  {}
 func (Refuse) isCommand() {}
 func (Probe) isCommand()  {}
--- a/wagroster/wagroster.go
+++ b/wagroster/wagroster.go
@@ -39,6 +39,8 @@
 type Roster struct {
 	self    Member
 	members map[string]*entry
+	// blindUntil is that of the host itself.
+	blindUntil time.Time
 }
 
 type entry struct {
@@ -48,6 +50,9 @@
 	distrustedUntil time.Time
 	// failures counts the failures in a row.
 	failures int
+	// blindUntil is until when the host does not follow the store for others,
+	// because it did not reach it.
+	blindUntil time.Time
 }
 
 // New returns a roster that knows only the host itself.
@@ -175,18 +180,58 @@
 	return r.Owner(now, DutyRelay, dataCentre)
 }
 
-// Lead returns the relay that follows the store for the whole site.
+// blindTime is how long a host that does not reach the store is not asked to
+// follow it, unless no other can.
+const blindTime = 4 * time.Second
+
+// Blind notes that a member, or the host itself, does not reach the store. It
+// tells whether that is new.
+func (r *Roster) Blind(now time.Time, name string) bool {
+	until := &r.blindUntil
+	if name != r.self.Name {
+		e, ok := r.members[name]
+		if !ok {
+			return false
+		}
+		until = &e.blindUntil
+	}
+	fresh := !now.Before(*until)
+	*until = now.Add(blindTime)
+	return fresh
+}
+
+// Sighted notes that a member, or the host itself, reaches the store.
+func (r *Roster) Sighted(name string) {
+	if name == r.self.Name {
+		r.blindUntil = time.Time{}
+	} else if e, ok := r.members[name]; ok {
+		e.blindUntil = time.Time{}
+	}
+}
+
+func (r *Roster) blind(now time.Time, name string) bool {
+	if name == r.self.Name {
+		return now.Before(r.blindUntil)
+	}
+	e, ok := r.members[name]
+	return ok && now.Before(e.blindUntil)
+}
+
+// Lead returns the relay that follows the store for the whole site: the first one
+// in a fixed order of the data centres that reaches the store, or else the first.
 func (r *Roster) Lead(now time.Time) (lead Member) {
 	lead = r.self
-	found := false
+	found, foundBlind := false, false
 	var best uint64
 	for _, dataCentre := range r.DataCentres() {
 		m, ok := r.Relay(now, dataCentre)
 		if !ok {
 			continue
 		}
-		if score := waglease.Score("lead", dataCentre); !found || score > best {
-			lead, best, found = m, score, true
+		blind, score := r.blind(now, m.Name), waglease.Score("lead", dataCentre)
+		better := !found || foundBlind && !blind || foundBlind == blind && score > best
+		if better {
+			lead, best, found, foundBlind = m, score, true, blind
 		}
 	}
 	return lead
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -52,6 +52,10 @@
 	// wake is signalled when following begins.
 	wake chan struct{}
 
+	// delivery is held while changes are passed on, so that they keep their order.
+	// It is taken before mu.
+	delivery sync.Mutex
+
 	mu     sync.Mutex
 	mirror *wagmirror.Mirror
 	// following is set while this host follows the store; stop ends the calls
@@ -78,7 +82,9 @@
 	watching bool
 	// confirmed is when the latest call ended well.
 	confirmed time.Time
-	failing   bool
+	// failing tells that the latest call failed, and gap that it did so because
+	// the store no longer knows the changes.
+	failing, gap bool
 	// restless is until when watches are short, because the store has changed.
 	restless time.Time
 	// seen is the head for which restless was set.
@@ -204,7 +210,8 @@
 func (s *Sync) failed(kind string, f *followed, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if errors.Is(err, wagstore.ErrGap) {
+	f.gap = errors.Is(err, wagstore.ErrGap)
+	if f.gap {
 		f.listed = false
 	}
 	if !f.failing {
@@ -292,9 +299,11 @@
 // Apply takes an update of the store or of another host. It returns false when
 // changes before it are missing.
 func (s *Sync) Apply(u wagmirror.Update) bool {
+	s.delivery.Lock()
+	defer s.delivery.Unlock()
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	records, ok := s.mirror.Apply(u)
+	s.mu.Unlock()
 	if len(records) > 0 {
 		s.changed(records)
 	}
@@ -349,6 +358,21 @@
 	return a
 }
 
+// Blind tells whether this host follows the store and does not reach it.
+func (s *Sync) Blind() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.following == nil {
+		return false
+	}
+	for _, f := range s.kinds {
+		if f.failing && !f.gap {
+			return true
+		}
+	}
+	return false
+}
+
 // Following tells whether this host follows the store.
 func (s *Sync) Following() bool {
 	s.mu.Lock()
