--- a/waghost/site.go
+++ b/waghost/site.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -61,6 +62,10 @@
 	mesh     *wagmesh.Mesh
 	gateway  *waggateway.Gateway
 	upstream *wagupstream.Pool
+	// seeds are those of the latest settings.
+	seeds atomic.Pointer[[]netip.AddrPort]
+	// restartOnce keeps the warning about settings that need a restart to one line.
+	restartOnce sync.Once
 
 	mu sync.Mutex
 	// servers holds the registered servers by their names.
@@ -91,12 +96,27 @@
 		Name: settings.Name, DataCentre: settings.DataCentre, Generation: uint64(s.clock.Now().UnixMilli()), Address: settings.Peers,
 	}
 	s.mesh = wagmesh.New(self, s.sync, s.owner, wagmesh.WithClock(s.clock), wagmesh.WithLog(s.log),
-		wagmesh.WithSeeds(func() []netip.AddrPort { return settings.Seeds }))
+		wagmesh.WithSeeds(func() []netip.AddrPort { return *s.seeds.Load() }))
+	s.seeds.Store(&settings.Seeds)
 	s.owner.SetRemote(s.mesh.PlaceRemote)
 	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log))
 	return s
 }
 
+// Reload puts new settings in force. Names and addresses hold until the next
+// start.
+func (s *Site) Reload(settings SiteSettings) {
+	if !slices.Equal(*s.seeds.Load(), settings.Seeds) {
+		s.seeds.Store(&settings.Seeds)
+		s.log.WithField("seeds", settings.Seeds).Info("seeds reloaded")
+	}
+	old := s.settings
+	if old.Name != settings.Name || old.DataCentre != settings.DataCentre || old.Callers != settings.Callers ||
+		old.Readiness != settings.Readiness || old.Peers != settings.Peers {
+		s.restartOnce.Do(func() { s.log.Warning("changed names or addresses come into force with the next start") })
+	}
+}
+
 // apply takes objects of the store that changed.
 func (s *Site) apply(records []wagmirror.Record) {
 	s.mu.Lock()
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -46,7 +46,7 @@
 type link struct {
 	mesh *Mesh
 	// peer is set with the hello and never changes.
-	peer wagroster.Member
+	peer   wagroster.Member
 	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
