wagupstream: Test the exchange with servers, and stream long bodies

A copy of the store's objects took deleted objects back from late updates (found by TestCopiesConverge). Change: answers above 256 KB and bodies above that size are passed on as they come; early answers end the connection. Updates below the known revision change nothing. A silent probe no longer keeps others back.

--- a/waggateway/answer.go
+++ b/waggateway/answer.go
@@ -1,6 +1,7 @@
 package waggateway
 
 import (
+	"io"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -35,7 +36,7 @@
 // answer passes the answer to the caller.
 func (g *Gateway) answer(w http.ResponseWriter, r *http.Request, a answer) {
 	h := w.Header()
-	if g.stopping.Load() {
+	if g.stopping.Load() || r.Close {
 		h.Set("Connection", "close")
 	}
 	if a.response == nil {
@@ -49,8 +50,12 @@
 			h[name] = nil
 		}
 	}
-	if r.Method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(a.response.Body)))
+	if a.response.Rest == nil && r.Method != http.MethodHead {
+		a.response.Length = int64(len(a.response.Body))
+	}
+	h.Del("Content-Length")
+	if a.response.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.response.Length, 10))
 	}
 	status := a.response.Status
 	if promises(status) {
@@ -65,6 +70,14 @@
 	w.WriteHeader(status)
 	// The caller is gone when this fails, and net/http closes the connection.
 	_, _ = w.Write(a.response.Body)
+	if a.response.Rest == nil {
+		return
+	}
+	defer func() { _ = a.response.Rest.Close() }()
+	if _, err := io.Copy(w, a.response.Rest); err != nil {
+		// The caller must see a broken answer, never a short one that looks whole.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // promises tells whether a status tells a caller that the request was not run.
--- /dev/null
+++ b/waggateway/fixture_test.go
@@ -0,0 +1,257 @@
+package waggateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagserver"
+	"github.com/wagtailspar/wagtailspar/wagsite"
+	"github.com/wagtailspar/wagtailspar/wagupstream"
+)
+
+// testProtocol has short header names.
+type testProtocol struct{}
+
+var _ Protocol = testProtocol{}
+
+func (testProtocol) RequestID(h http.Header) string { return h.Get("Id") }
+
+func (testProtocol) Patience(h http.Header) (time.Duration, bool) {
+	ms, err := strconv.Atoi(h.Get("Patience"))
+	return time.Duration(ms) * time.Millisecond, err == nil
+}
+
+func (testProtocol) Prepare(h http.Header, left time.Duration, serverID string) {
+	h.Set("Patience", strconv.FormatInt(left.Milliseconds(), 10))
+	h.Set("Expect-Server", serverID)
+}
+
+func (testProtocol) Report(h http.Header) (wagplacement.Report, bool) {
+	n, err := strconv.Atoi(h.Get("Running"))
+	return wagplacement.Report{Running: n}, err == nil
+}
+
+func (testProtocol) NotRun(_ int, h http.Header) bool { return h.Get("Not-Run") != "" }
+func (testProtocol) Misdirected(status int) bool      { return status == http.StatusMisdirectedRequest }
+func (testProtocol) ServerID(h http.Header) string    { return h.Get("Server-Id") }
+func (testProtocol) Signed(h http.Header) bool        { return h.Get("Signed") != "" }
+func (testProtocol) Unsign(h http.Header)             { h.Del("Signed") }
+func (testProtocol) Echo(h http.Header, id string)    { h.Set("Id", id) }
+
+// answers of servers.
+const (
+	answerOK       = "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
+	answerUnsigned = "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok"
+	answerError    = "HTTP/1.1 500 Failed\r\nId: %s\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nno"
+	answerFull     = "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	answerBusy     = "HTTP/1.1 503 Busy\r\nId: %s\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n"
+	answerOther    = "HTTP/1.1 421 Other\r\nId: %s\r\nContent-Length: 0\r\n\r\n"
+	answerShort    = "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 20\r\n\r\nok"
+	answerNothing  = ""
+)
+
+// backend is a scripted server.
+type backend struct {
+	name     string
+	address  netip.AddrPort
+	listener net.Listener
+	group    errgroup.Group
+	// hold keeps answers back until it is closed; nil answers at once.
+	hold chan struct{}
+
+	mu sync.Mutex
+	// answer is the text for each request; %s stands for its identity.
+	answer string
+	// requests holds what arrived, and gone how many connections ended while a
+	// request was held.
+	requests []*http.Request
+	bodies   []string
+	gone     chan struct{}
+	conns    []net.Conn
+}
+
+func newBackend(t *testing.T, name, answer string) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{name: name, answer: answer, listener: l, address: netip.MustParseAddrPort(l.Addr().String()), gone: make(chan struct{}, 100)}
+	b.group.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			b.mu.Lock()
+			b.conns = append(b.conns, c)
+			b.mu.Unlock()
+			b.group.Go(func() error {
+				b.serve(c)
+				return nil
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		b.mu.Lock()
+		for _, c := range b.conns {
+			_ = c.Close()
+		}
+		b.mu.Unlock()
+		_ = b.group.Wait()
+	})
+	return b
+}
+
+func (b *backend) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		b.mu.Lock()
+		b.requests, b.bodies = append(b.requests, q), append(b.bodies, string(body))
+		answer, hold := b.answer, b.hold
+		b.mu.Unlock()
+		if hold != nil {
+			var g errgroup.Group
+			g.Go(func() error {
+				if _, err := r.Peek(1); err != nil {
+					b.gone <- struct{}{}
+				}
+				return nil
+			})
+			<-hold
+		}
+		if answer == answerNothing {
+			return
+		}
+		if _, err := fmt.Fprintf(c, answer, q.Header.Get("Id")); err != nil || answer == answerShort || hold != nil {
+			return
+		}
+	}
+}
+
+func (b *backend) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.requests)
+}
+
+func (b *backend) instance() wagserver.Instance {
+	return wagserver.Instance{ID: b.name, Address: b.address}
+}
+
+// placer grants the servers in their order and notes what it is told.
+type placer struct {
+	mu       sync.Mutex
+	servers  []*backend
+	requests []wagplacement.Request
+	results  []wagplacement.Result
+	// refuse is given when no server is left.
+	refuse wagowner.Refused
+}
+
+func (p *placer) Place(_ context.Context, _ string, r wagplacement.Request) wagowner.Outcome {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests = append(p.requests, r)
+	if len(p.servers) == 0 {
+		return p.refuse
+	}
+	b := p.servers[0]
+	p.servers = p.servers[1:]
+	return wagowner.Granted{Server: b.instance(), Finish: func(r wagplacement.Result) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.results = append(p.results, r)
+	}}
+}
+
+// fixture is a gateway behind a real listener.
+type fixture struct {
+	gateway *Gateway
+	placer  *placer
+	server  *httptest.Server
+}
+
+const (
+	testTimeout  = 2 * time.Second
+	testPatience = "5000"
+)
+
+func newFixture(t *testing.T, servers ...*backend) *fixture {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pool := wagupstream.NewPool("Id")
+	f := &fixture{placer: &placer{servers: servers, refuse: wagowner.Refused{Reason: wagplacement.ReasonOverload, RetryAt: time.Now().Add(time.Minute)}}}
+	f.gateway = New(testProtocol{}, f.placer, pool, WithLog(log))
+	f.gateway.SetConfig(testConfig(t, 1, testTimeout))
+	f.server = httptest.NewServer(f.gateway)
+	t.Cleanup(func() {
+		f.server.Close()
+		pool.Close()
+	})
+	return f
+}
+
+func testConfig(t *testing.T, version wagsite.Version, timeout time.Duration) *wagsite.Config {
+	t.Helper()
+	route := func(name, prefix string, idempotent bool) wagsite.Route {
+		return wagsite.Route{
+			Name: name, Host: "a.example", Prefix: prefix, Idempotent: idempotent, Timeout: timeout, Goal: time.Second, Attempts: 2, Rank: 1,
+			Parts: []wagsite.Part{{Service: "lots", Weight: 1}},
+		}
+	}
+	c, err := wagsite.New(version, wagsite.Limits{BodyBytes: 4 << 20}, []wagsite.Service{{Name: "lots"}},
+		[]wagsite.Route{route("status", "/status/", true), route("commit", "/commit/", false)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// call sends a request and returns the answer with its body.
+func (f *fixture) call(t *testing.T, method, path string, body io.Reader) (*http.Response, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, f.server.URL+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "a.example"
+	r.Header.Set("Id", "r1")
+	r.Header.Set("Patience", testPatience)
+	resp, err := f.server.Client().Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(text)
+}
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -1,6 +1,7 @@
 package waggateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -18,6 +19,8 @@
 const (
 	// defaultPatience is how long a caller is taken to wait that does not tell.
 	defaultPatience = 30 * time.Second
+	// maxBody is up to which size a body is kept, so that it can be sent again.
+	maxBody = 256 << 10
 	// dialTime bounds the wait for a connection to a server. One needs 1 ms
 	// beside the delay of the link; a lost packet is sent again after a second.
 	dialTime = 150 * time.Millisecond
@@ -37,8 +40,11 @@
 	// deadline is when the request ends with whatever answer there is: the
 	// caller's deadline or the timeout of the route.
 	deadline time.Time
-	// body is the whole body.
-	body []byte
+	// body is the whole body, or its beginning when rest is set. length is that of
+	// both, or -1.
+	body   []byte
+	rest   io.Reader
+	length int64
 	// mayHaveRun tells that an attempt may have been run by a server.
 	mayHaveRun bool
 	attempts   int
@@ -59,11 +65,29 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q, a := g.take(r)
 	if q != nil {
-		a = q.run()
+		if q.rest != nil {
+			defer streamBody(w)()
+		}
+		// The rest of a long answer arrives while it is passed on.
+		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+		defer cancel()
+		a = q.run(ctx)
 	}
 	g.answer(w, r, a)
 }
 
+// streamBody permits that a server answers before it has the whole body. It returns
+// a function that ends the reading of the rest.
+func streamBody(w http.ResponseWriter) func() {
+	control := http.NewResponseController(w)
+	// Both fail only for writers that are no connections.
+	_ = control.EnableFullDuplex()
+	return func() { _ = control.SetReadDeadline(longAgo) }
+}
+
+// longAgo is a deadline in the past.
+var longAgo = time.Unix(1, 0)
+
 // take checks a request and reads its body. It returns no request when the
 // answer is known without a server.
 func (g *Gateway) take(r *http.Request) (*request, answer) {
@@ -86,21 +110,37 @@
 			q.deadline = until
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, config.Limits.BodyBytes+1))
-	if err != nil {
-		return nil, answer{status: http.StatusBadRequest, reason: "the body could not be read: " + err.Error()}
+	if reason := q.readBody(config.Limits.BodyBytes); reason != nil {
+		return nil, *reason
 	}
-	if int64(len(body)) > config.Limits.BodyBytes {
-		return nil, answer{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
-	}
-	q.body = body
 	return q, answer{}
 }
 
+// readBody reads the body, or its beginning when it is long. It returns the answer
+// when the body cannot be taken.
+func (q *request) readBody(limit int64) *answer {
+	if q.in.ContentLength > limit {
+		return &answer{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
+	}
+	var body bytes.Buffer
+	source := http.MaxBytesReader(nil, q.in.Body, limit)
+	_, err := io.CopyN(&body, source, maxBody)
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		return &answer{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
+	case err == nil:
+		// What a server leaves unread of it must not be taken for the next request.
+		q.rest, q.length, q.in.Close = source, q.in.ContentLength, true
+	case err != io.EOF:
+		return &answer{status: http.StatusBadRequest, reason: "the body could not be read: " + err.Error()}
+	}
+	q.body = body.Bytes()
+	return nil
+}
+
 // run places and sends the request until there is an answer.
-func (q *request) run() answer {
-	ctx, cancel := context.WithDeadline(q.in.Context(), q.deadline)
-	defer cancel()
+func (q *request) run(ctx context.Context) answer {
 	for {
 		r := wagplacement.Request{
 			Route: q.route.Name, Rank: q.route.Rank, Goal: q.arrived.Add(q.route.Goal), Deadline: q.deadline,
@@ -184,7 +224,7 @@
 		q.mayHaveRun = true
 	}
 	q.avoid = append(q.avoid, serverID)
-	if ctx.Err() == nil && q.attempts < q.route.Attempts && (q.route.Idempotent || !q.mayHaveRun) {
+	if ctx.Err() == nil && q.attempts < q.route.Attempts && (q.route.Idempotent || !q.mayHaveRun) && q.rest == nil {
 		return answer{}, false
 	}
 	if !q.mayHaveRun {
@@ -203,5 +243,5 @@
 	h.Del("Expect")
 	h.Del("Content-Length")
 	q.gateway.protocol.Prepare(h, left, serverID)
-	return &wagupstream.Request{Method: q.in.Method, Target: q.in.RequestURI, Host: q.in.Host, Header: h, Body: q.body, ID: q.id}
+	return &wagupstream.Request{Method: q.in.Method, Target: q.in.RequestURI, Host: q.in.Host, Header: h, Body: q.body, Rest: q.rest, Length: q.length, ID: q.id}
 }
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -132,9 +132,13 @@
 	}
 }
 
-func (m *Mesh) outbound(to netip.AddrPort, d *dial) error {
+func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTime}
-	raw, err := dialer.DialContext(m.ctx, "tcp", to.String())
+	return dialer.DialContext(ctx, "tcp", to.String())
+}
+
+func (m *Mesh) outbound(to netip.AddrPort, d *dial) error {
+	raw, err := m.dial(m.ctx, to)
 	m.mu.Lock()
 	if err != nil {
 		d.failures++
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -61,6 +61,7 @@
 	sync  *wagsync.Sync
 	owner *wagowner.Owner
 	seeds func() []netip.AddrPort
+	dial  func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	// self is this host as it was at the start.
 	self wagroster.Member
 	// group runs the links until the mesh ends.
@@ -102,6 +103,11 @@
 // WithLog replaces the standard logger.
 func WithLog(l logrus.FieldLogger) Option { return func(m *Mesh) { m.log = l } }
 
+// WithDial replaces how connections to other hosts are opened.
+func WithDial(dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)) Option {
+	return func(m *Mesh) { m.dial = dial }
+}
+
 // WithSeeds sets the addresses that are asked for other hosts.
 func WithSeeds(seeds func() []netip.AddrPort) Option { return func(m *Mesh) { m.seeds = seeds } }
 
@@ -109,7 +115,7 @@
 func New(self wagroster.Member, s *wagsync.Sync, o *wagowner.Owner, opts ...Option) *Mesh {
 	m := &Mesh{
 		clock: wagclock.System{}, log: logrus.StandardLogger(), sync: s, owner: o, seeds: func() []netip.AddrPort { return nil },
-		self: self, roster: wagroster.New(self), links: make(map[string][]*link), dials: make(map[netip.AddrPort]*dial),
+		dial: dialTCP, self: self, roster: wagroster.New(self), links: make(map[string][]*link), dials: make(map[netip.AddrPort]*dial),
 	}
 	for _, option := range opts {
 		option(m)
--- a/wagmirror/wagmirror.go
+++ b/wagmirror/wagmirror.go
@@ -98,6 +98,10 @@
 	listed := make(map[string]bool, len(u.Records))
 	for _, r := range u.Records {
 		listed[r.Name] = true
+		if !u.Full && r.Revision <= k.complete {
+			// What is complete holds this state, or a later one without the object.
+			continue
+		}
 		if k.put(r) {
 			changed = append(changed, r)
 		}
--- a/wagplacement/choose.go
+++ b/wagplacement/choose.go
@@ -11,8 +11,10 @@
 	// probeTime is how long the answer to a probe is waited for. Within a data
 	// centre it takes 0.5 ms.
 	probeTime = 30 * time.Millisecond
+	// probePatience is after how long without an answer other servers are probed.
+	probePatience = 4 * time.Millisecond
 	// retryPause is when the search for a server goes on that had to be given up.
-	retryPause = 10 * time.Millisecond
+	retryPause = 5 * time.Millisecond
 	// coldWeight is what the slowness of a server counts compared with its load.
 	coldWeight = 0.3
 )
@@ -112,7 +114,7 @@
 func (c *Core) probe(now time.Time, waiting int) {
 	under := 0
 	for _, s := range c.order {
-		if s.probing {
+		if s.probing && now.Sub(s.probedAt) < probePatience {
 			under++
 		}
 	}
@@ -122,7 +124,7 @@
 		if s == nil {
 			return
 		}
-		s.probing = true
+		s.probing, s.probedAt = true, now
 		c.commands = append(c.commands, Probe{Server: s.Instance, Deadline: now.Add(probeTime)})
 	}
 }
--- /dev/null
+++ b/wagplacement/core_test.go
@@ -0,0 +1,407 @@
+package wagplacement
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/wagtailspar/wagtailspar/wagserver"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	testWork     = 65 * time.Millisecond
+	testGoal     = 250 * time.Millisecond
+	testDeadline = time.Second
+)
+
+// group drives a Core in tests and answers its probes.
+type group struct {
+	core *Core
+	now  time.Time
+	// slowness is what each server reports; 1 when it is not set.
+	slowness map[string]float64
+	// silent servers do not answer probes.
+	silent map[string]bool
+	// granted holds the server of each request, and refused the refusals.
+	granted map[RequestID]string
+	refused map[RequestID]Refuse
+	spills  []Spill
+	probes  int
+	next    RequestID
+}
+
+func newGroup(servers, slots int, opts ...Option) *group {
+	g := &group{
+		core: New(opts...), now: start, slowness: make(map[string]float64), silent: make(map[string]bool),
+		granted: make(map[RequestID]string), refused: make(map[RequestID]Refuse),
+	}
+	g.core.SetServers(g.now, instances(servers, slots))
+	// The work of the route is known.
+	g.core.routes["status"] = &route{work: testWork, seen: 100}
+	g.core.load.hold = testWork
+	g.core.load.slow = 0
+	return g
+}
+
+func instances(servers, slots int) (list []wagserver.Instance) {
+	for n := range servers {
+		list = append(list, wagserver.Instance{
+			ID: fmt.Sprint("s", n), Service: "lots", DataCentre: "a", Slots: slots, State: wagserver.Live,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80),
+		})
+	}
+	return list
+}
+
+func (g *group) request() Request {
+	g.next++
+	return Request{ID: g.next, Route: "status", Rank: 1, Goal: g.now.Add(testGoal), Deadline: g.now.Add(testDeadline)}
+}
+
+// submit submits a request after a change and returns its ID.
+func (g *group) submit(change func(*Request)) RequestID {
+	r := g.request()
+	if change != nil {
+		change(&r)
+	}
+	g.core.Submit(g.now, r)
+	g.carryOut()
+	return r.ID
+}
+
+// carryOut answers probes and notes decisions until there are no commands.
+func (g *group) carryOut() {
+	for commands := g.core.Commands(); len(commands) > 0; commands = g.core.Commands() {
+		for _, command := range commands {
+			switch x := command.(type) {
+			case Grant:
+				g.granted[x.Request] = x.Server.ID
+			case Refuse:
+				g.refused[x.Request] = x
+			case Spill:
+				g.spills = append(g.spills, x)
+			case Probe:
+				g.probes++
+				g.answer(x)
+			}
+		}
+	}
+}
+
+func (g *group) answer(p Probe) {
+	if g.silent[p.Server.ID] {
+		return
+	}
+	running := 0
+	for _, x := range g.core.granted {
+		if x.server.ID == p.Server.ID {
+			running++
+		}
+	}
+	g.core.Probed(g.now, p.Server.ID, Result{HasReport: true, Report: Report{Running: running, Slots: p.Server.Slots, Slowness: g.factor(p.Server.ID)}})
+}
+
+func (g *group) factor(id string) float64 {
+	if x, ok := g.slowness[id]; ok {
+		return x
+	}
+	return 1
+}
+
+// advance moves the time on and ticks when the core asks for it.
+func (g *group) advance(d time.Duration) {
+	end := g.now.Add(d)
+	for {
+		at := g.core.NextWake()
+		if at.IsZero() || at.After(end) {
+			break
+		}
+		if at.After(g.now) {
+			g.now = at
+		} else {
+			g.now = g.now.Add(time.Millisecond)
+		}
+		g.core.Tick(g.now)
+		g.carryOut()
+	}
+	g.now = end
+}
+
+// finish ends a request; the report counts the request itself as answers do.
+func (g *group) finish(id RequestID, fault Fault) {
+	x, ok := g.core.granted[id]
+	if !ok {
+		return
+	}
+	r := Result{Fault: fault, Took: g.now.Sub(x.at)}
+	if fault == FaultNone || fault == FaultError {
+		r.HasReport = true
+		r.Report = Report{Running: x.server.running, Slots: x.server.Slots, Slowness: g.factor(x.server.ID)}
+	}
+	g.core.Finished(g.now, id, r)
+	g.carryOut()
+}
+
+// Guards against work that goes to a server whose neighbours slow it down at this
+// moment, while others are idle.
+func TestSlowServerIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(4, 6)
+	g.slowness["s0"], g.slowness["s2"] = 5, 5
+	for range 8 {
+		id := g.submit(nil)
+		is.True(g.granted[id] == "s1" || g.granted[id] == "s3")
+	}
+}
+
+// Guards against requests that are sent to slow servers although a server that is
+// not slow becomes free in time, and against requests that wait on when the goal is
+// out of reach anyway.
+func TestWaitsForNormalServerUntilGoal(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, 6)
+	g.slowness["s0"], g.slowness["s1"] = 5, 5
+	first := g.submit(nil)
+	is.Equal(g.granted[first], "")
+	g.advance(60 * time.Millisecond)
+	is.Equal(g.granted[first], "")
+	g.slowness["s1"] = 1
+	g.advance(slowPause + retryPause)
+	is.Equal(g.granted[first], "s1") // found by a probe soon after it became normal
+
+	g.slowness["s1"] = 5
+	second := g.submit(nil)
+	g.advance(testGoal)
+	is.True(g.granted[second] != "") // late, but served
+}
+
+// Guards against reports that are used when they are old, and against probes that
+// ask again for what is known.
+func TestProbesOnlyWhenReportIsOld(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 6)
+	g.submit(nil)
+	is.Equal(g.probes, 1)
+	g.submit(nil)
+	is.Equal(g.probes, 1) // the report is of this moment
+	g.now = g.now.Add(2 * freshTime)
+	id := g.submit(nil)
+	is.Equal(g.probes, 2)
+	is.Equal(g.granted[id], "s0")
+}
+
+// Guards against a server whose probes are lost and that then gets neither probes
+// nor work, and against a group that waits for it.
+func TestSilentProbeDoesNotBlock(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(3, 6)
+	g.silent["s0"], g.silent["s1"] = true, true
+	id := g.submit(nil)
+	g.advance(2 * retryPause)
+	is.Equal(g.granted[id], "s2")
+}
+
+// Guards against more requests at a server than it does well, and against slots
+// that stay empty because the report on an answer counts the answered request.
+func TestLimitsAtTheKnee(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 6)
+	var ids []RequestID
+	for range 6 {
+		ids = append(ids, g.submit(nil))
+	}
+	is.Equal(g.core.servers["s0"].running, 4) // 0.8 of 6 slots
+	g.advance(testWork)
+	g.finish(ids[0], FaultNone)
+	is.Equal(g.core.servers["s0"].running, 4)
+	is.Equal(g.granted[ids[4]], "s0")
+}
+
+// Guards against servers without a knee that are used only in part: with 2 slots
+// the knee would take half of the capacity.
+func TestKneeIsLearned(t *testing.T) {
+	is := is.New(t)
+	var k knee
+	is.Equal(k.limit(2), 2)
+	is.Equal(k.limit(6), 4)
+	for range 2 * kneeSamples {
+		k.learn(&grant{nearlyFull: false}, 1)
+		k.learn(&grant{nearlyFull: true}, 1.05)
+	}
+	is.Equal(k.limit(6), 6)
+	for range 200 {
+		k.learn(&grant{nearlyFull: true}, 1.7)
+	}
+	is.Equal(k.limit(6), 4)
+	is.Equal(k.limit(2), 1)
+}
+
+// Guards against other hosts' work at a server that is not seen: two hosts may
+// believe that they own the group.
+func TestReportsShowWorkOfOthers(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 6)
+	r := g.request()
+	g.core.Submit(g.now, r)
+	for _, command := range g.core.Commands() {
+		p, ok := command.(Probe)
+		is.True(ok)
+		g.core.Probed(g.now, p.Server.ID, Result{HasReport: true, Report: Report{Running: 5, Slots: 6, Slowness: 1}})
+	}
+	is.Equal(len(g.core.Commands()), 0)
+	is.Equal(g.core.servers["s0"].running, 0)
+}
+
+// Guards against an urgent request that waits behind others, and against one that
+// can no longer be answered in time and takes the slot of one that can.
+func TestOrderOfTheQueue(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 2)
+	g.core.knee.samples = kneeSamples // no knee
+	running := []RequestID{g.submit(nil), g.submit(nil)}
+	hopeless := g.submit(func(r *Request) { r.Goal = g.now.Add(testWork) })
+	usual := g.submit(nil)
+	urgent := g.submit(func(r *Request) { r.Rank = 0 })
+	g.advance(30 * time.Millisecond)
+	g.finish(running[0], FaultNone)
+	is.Equal(g.granted[urgent], "s0")
+	g.finish(running[1], FaultNone)
+	is.Equal(g.granted[usual], "s0")
+	is.Equal(g.granted[hopeless], "")
+}
+
+// Guards against requests that wait for a server until their deadline although
+// nothing can serve them in time.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 6)
+	refusals := 0
+	for range 60 {
+		id := g.submit(nil)
+		g.core.load.arrivals = 1000 // those in time need all slots
+		if x, ok := g.refused[id]; ok {
+			refusals++
+			is.Equal(x.Reason, ReasonOverload)
+			is.True(x.RetryAt.After(g.now))
+			is.True(!x.RetryAt.After(g.now.Add(maxRetry)))
+		}
+	}
+	is.True(refusals > 30)
+	is.True(len(g.core.waiting.list) < 20)
+	is.Equal(len(g.granted), 4)
+}
+
+// Guards against a request that is kept although no time is left for it, and
+// against a queue that is not looked at when its requests are due.
+func TestExpiredRequestsAreRefused(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 6)
+	g.core.SetServers(g.now, nil)
+	g.core.load.hold = 0
+	id := g.submit(nil)
+	g.advance(testDeadline)
+	_, refused := g.refused[id]
+	is.True(refused)
+	is.Equal(len(g.core.waiting.list), 0)
+	is.True(g.core.NextWake().IsZero())
+}
+
+// Guards against the loss of slots when a host ends without telling what became of
+// its grants.
+func TestForgottenGrantsExpire(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 6)
+	for range 4 {
+		g.submit(nil)
+	}
+	is.Equal(g.core.servers["s0"].running, 4)
+	g.now = g.now.Add(testDeadline + grantGrace + time.Second)
+	g.core.Tick(g.now)
+	is.Equal(g.core.servers["s0"].running, 0)
+	id := g.submit(nil)
+	is.Equal(g.granted[id], "s0")
+}
+
+// Guards against requests that are granted twice or refused after a grant, whatever
+// order events come in, and against counts that do not return to zero.
+func TestGrantedOnce(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(5, 2)
+	g.core.knee.samples = kneeSamples
+	seen := make(map[RequestID]int)
+	for round := range 400 {
+		id := g.submit(func(r *Request) { r.Rank = round % 3 })
+		seen[id]++
+		if round%7 == 0 {
+			g.core.Cancel(g.now, id-1)
+		}
+		if round%5 == 0 {
+			for id := range g.core.granted {
+				g.finish(id, Fault(round%8))
+				break
+			}
+		}
+		g.advance(time.Duration(round%11) * time.Millisecond)
+		for id := range g.granted {
+			_, refused := g.refused[id]
+			is.True(!refused)
+		}
+	}
+	for id := range g.core.granted {
+		g.finish(id, FaultNone)
+	}
+	g.core.waiting.list = nil
+	for id := range g.core.granted {
+		g.finish(id, FaultNone)
+	}
+	for _, s := range g.core.servers {
+		is.Equal(s.running, 0)
+		is.Equal(s.stuck, 0)
+	}
+}
+
+// Guards against a leaving server that gets new work, and against one whose work in
+// flight is forgotten.
+func TestLeavingServer(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, 6)
+	first := g.submit(nil)
+	list := instances(2, 6)
+	for i := range list {
+		if list[i].ID == g.granted[first] {
+			list[i].State = wagserver.Leaving
+		}
+	}
+	leaving := g.granted[first]
+	g.core.SetServers(g.now, list)
+	for range 4 {
+		id := g.submit(nil)
+		is.True(g.granted[id] != leaving)
+	}
+	is.Equal(g.core.servers[leaving].running, 1)
+	g.core.SetServers(g.now, nil)
+	is.Equal(len(g.core.servers), 2) // both still run requests
+	g.finish(first, FaultNone)
+	_, known := g.core.servers[leaving]
+	is.True(!known)
+}
+
+// Guards against a server that started again under the same name and is judged by
+// what its former start did.
+func TestNewStartOfServer(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 6)
+	id := g.submit(nil)
+	g.finish(id, FaultBroken)
+	is.True(g.core.servers["s0"].excludedUntil.After(g.now))
+	list := instances(1, 6)
+	list[0].Started = start.Add(time.Hour)
+	g.core.SetServers(g.now, list)
+	id = g.submit(nil)
+	is.Equal(g.granted[id], "s0")
+}
--- a/wagplacement/servers.go
+++ b/wagplacement/servers.go
@@ -49,8 +49,10 @@
 	report     Report
 	reportedAt time.Time
 	// since counts the requests granted after the report.
-	since   int
-	probing bool
+	since int
+	// probing tells that a probe is under way, since probedAt.
+	probing  bool
+	probedAt time.Time
 	// pace is how long requests take compared with what the reports led to expect;
 	// 0 before the first.
 	pace float64
--- /dev/null
+++ b/wagroster/wagroster_test.go
@@ -0,0 +1,185 @@
+package wagroster
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1000, 0)
+
+func member(dataCentre string, n int) Member {
+	return Member{
+		Name: fmt.Sprintf("%s-%d", dataCentre, n), DataCentre: dataCentre, Generation: 1,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, dataCentre[0], byte(n)}), 8082),
+	}
+}
+
+// site returns a roster for each host of two data centres, and all members.
+func site(hosts int) (rosters []*Roster, members []Member) {
+	for _, dataCentre := range []string{"a", "b"} {
+		for n := range hosts {
+			members = append(members, member(dataCentre, n))
+		}
+	}
+	for _, m := range members {
+		r := New(m)
+		r.Learn(members)
+		rosters = append(rosters, r)
+	}
+	return rosters, members
+}
+
+// Guards against hosts that choose different owners or leads although they know
+// the same hosts.
+func TestHostsChooseAlike(t *testing.T) {
+	is := is.New(t)
+	rosters, _ := site(5)
+	first := rosters[0]
+	for _, r := range rosters[1:] {
+		is.Equal(r.Lead(start).Name, first.Lead(start).Name)
+		for _, dataCentre := range []string{"a", "b"} {
+			for _, service := range []string{"lots", "assays"} {
+				want, _ := first.Owner(start, service, dataCentre)
+				got, ok := r.Owner(start, service, dataCentre)
+				is.True(ok)
+				is.Equal(got.Name, want.Name)
+				is.Equal(got.DataCentre, dataCentre)
+			}
+		}
+	}
+}
+
+// Guards against a duty that moves between hosts that go on although another one
+// was lost, and against one that stays with a host that does not answer.
+func TestLossMovesOnlyItsDuties(t *testing.T) {
+	is := is.New(t)
+	rosters, members := site(5)
+	lost := members[2]
+	for i, r := range rosters {
+		if members[i].Name == lost.Name {
+			continue
+		}
+		before := make(map[string]string)
+		for n := range 50 {
+			duty := fmt.Sprint("service", n)
+			owner, _ := r.Owner(start, duty, "a")
+			before[duty] = owner.Name
+		}
+		r.Distrust(start, lost.Name)
+		for duty, name := range before {
+			owner, ok := r.Owner(start, duty, "a")
+			is.True(ok)
+			is.True(owner.Name != lost.Name)
+			is.True(name == lost.Name || owner.Name == name)
+		}
+	}
+}
+
+// Guards against a host that gets no duty for ever after it failed once, and
+// against one that gets them back at once although it fails again and again.
+func TestDistrustEndsAndGrows(t *testing.T) {
+	is := is.New(t)
+	rosters, members := site(2)
+	r, other := rosters[0], members[1]
+	duty := ""
+	for n := 0; duty == ""; n++ {
+		if owner, _ := r.Owner(start, fmt.Sprint(n), "a"); owner.Name == other.Name {
+			duty = fmt.Sprint(n)
+		}
+	}
+	owns := func(at time.Time) bool {
+		owner, _ := r.Owner(at, duty, "a")
+		return owner.Name == other.Name
+	}
+	r.Distrust(start, other.Name)
+	is.True(!owns(start.Add(firstDistrust - 1)))
+	is.True(owns(start.Add(firstDistrust)))
+	r.Distrust(start, other.Name)
+	is.True(!owns(start.Add(firstDistrust)))
+	is.True(owns(start.Add(2 * firstDistrust)))
+	for range 20 {
+		r.Distrust(start, other.Name)
+	}
+	is.True(owns(start.Add(maxDistrust)))
+	r.Distrust(start, other.Name)
+	r.Hear(other)
+	is.True(owns(start)) // what it says itself ends the distrust
+}
+
+// Guards against a host that keeps its duties while it stops, and against one that
+// gets none after it started again with a clock that was set back.
+func TestLeavingAndReturning(t *testing.T) {
+	is := is.New(t)
+	rosters, members := site(1)
+	r := rosters[0]
+	other := members[1]
+	other.Leaving = true
+	is.True(r.Learn([]Member{other}))
+	_, ok := r.Owner(start, "lots", "b")
+	is.True(!ok)
+	stale := members[1]
+	is.True(!r.Learn([]Member{stale})) // others say what was true before
+	_, ok = r.Owner(start, "lots", "b")
+	is.True(!ok)
+	again := members[1]
+	again.Generation = 0 // its clock was set back
+	is.True(r.Hear(again))
+	_, ok = r.Owner(start, "lots", "b")
+	is.True(ok)
+}
+
+// Guards against a site that learns of no changes because its lead cannot reach
+// the store while another relay can, and against one without a lead when none can.
+func TestLeadReachesStore(t *testing.T) {
+	is := is.New(t)
+	rosters, _ := site(3)
+	r := rosters[0]
+	lead := r.Lead(start)
+	is.True(r.Blind(start, lead.Name))
+	second := r.Lead(start)
+	is.True(second.DataCentre != lead.DataCentre)
+	r.Blind(start, second.Name)
+	is.Equal(r.Lead(start).Name, lead.Name) // all are blind
+	is.Equal(r.Lead(start.Add(blindTime)).Name, lead.Name)
+	r.Blind(start, lead.Name)
+	r.Sighted(second.Name)
+	is.Equal(r.Lead(start).Name, second.Name)
+}
+
+// Guards against a chain of hosts that learn from each other in a circle, so that
+// none learns from the store.
+func TestUpstreamEndsAtLead(t *testing.T) {
+	is := is.New(t)
+	rosters, members := site(4)
+	byName := make(map[string]*Roster)
+	for i, m := range members {
+		byName[m.Name] = rosters[i]
+	}
+	for _, r := range rosters {
+		hops := 0
+		for {
+			up, ok := r.Upstream(start)
+			if !ok {
+				break
+			}
+			r = byName[up.Name]
+			hops++
+			is.True(hops <= 2)
+		}
+		is.Equal(r.Self().Name, r.Lead(start).Name)
+	}
+}
+
+// Guards against memory that another host fills with members that do not exist.
+func TestMembersAreBounded(t *testing.T) {
+	is := is.New(t)
+	r := New(member("a", 0))
+	for n := range 2 * maxMembers {
+		r.Learn([]Member{{Name: fmt.Sprint("x", n), DataCentre: "b", Address: netip.MustParseAddrPort("10.0.0.1:1")}})
+	}
+	is.True(len(r.Members()) <= maxMembers+1)
+}
--- a/wagsite/wagsite.go
+++ b/wagsite/wagsite.go
@@ -74,6 +74,9 @@
 	Weight  int
 }
 
+// maxWeight bounds a weight, so that the sum of all weights of a route is exact.
+const maxWeight = 1_000_000
+
 // New checks the parts of a configuration and returns it. Names of hosts are
 // compared without regard to case.
 func New(version Version, limits Limits, services []Service, routes []Route) (c *Config, err error) {
@@ -109,8 +112,8 @@
 		if _, ok := c.services[p.Service]; !ok {
 			return errors.Errorf("service %q does not exist", p.Service)
 		}
-		if p.Weight < 0 {
-			return errors.Errorf("weight %d of service %q is negative", p.Weight, p.Service)
+		if p.Weight < 0 || p.Weight > maxWeight {
+			return errors.Errorf("weight %d of service %q is not between 0 and %d", p.Weight, p.Service, maxWeight)
 		}
 		r.total += p.Weight
 	}
--- a/wagupstream/exchange.go
+++ b/wagupstream/exchange.go
@@ -1,70 +1,21 @@
 package wagupstream
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
-	"net"
-	"net/http"
-	"strconv"
-	"strings"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 )
 
-const (
-	// maxForeign bounds the answers to earlier requests that are passed over on
-	// one connection. Servers were seen to repeat one answer.
-	maxForeign = 2
-	// maxBody bounds the body of an answer that is held in memory.
-	maxBody = 16 << 20
-)
-
-// conn is a connection to a server that carries one request at a time.
-type conn struct {
-	raw    net.Conn
-	reader *bufio.Reader
-	// idleUntil is when the connection is no longer used again.
-	idleUntil time.Time
-}
-
-func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBuffer)}
-}
-
-// close ends the connection. The error is of no use: nothing is in flight.
-func (c *conn) close() { _ = c.raw.Close() }
-
-// quiet tells whether the connection is open and has no bytes to read. Bytes
-// that no request asked for belong to no request.
-func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, err := syscall.Read(int(fd), one[:])
-		quiet = n <= 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
-		return true
-	})
-	return err == nil && quiet
-}
+// maxForeign bounds the answers to earlier requests that are passed over on one
+// connection. Servers were seen to repeat one answer.
+const maxForeign = 2
 
-// Exchange sends a request to a server and returns the complete answer. A
-// connection has to be there by dialBy, and the answer until ctx ends. reused
-// tells that the request was sent on a kept connection.
+// Exchange sends a request to a server and returns its answer. A connection has
+// to be there by dialBy, and the answer until ctx ends. reused tells that the
+// request was sent on a kept connection.
 func (p *Pool) Exchange(ctx context.Context, s Server, r *Request, dialBy time.Time) (resp *Response, reused bool, err error) {
 	c, reused, err := p.get(ctx, s, dialBy)
 	if err != nil {
@@ -72,108 +23,128 @@
 	}
 	p.count(func(s *Stats) { s.Exchanges++ })
 	stop := context.AfterFunc(ctx, c.close)
-	defer stop()
-	if ctx.Err() != nil {
-		c.close()
-		return nil, reused, ErrNotSent
-	}
-	resp, keep, err := p.exchange(c, r)
-	if err != nil || !keep {
-		c.close()
-		return resp, reused, err
+	x := &exchange{pool: p, server: s, conn: c, stop: stop}
+	resp, err = x.run(r)
+	if err != nil {
+		x.end(false)
+		if !c.written.Load() {
+			err = errors.WithMessage(ErrNotSent, err.Error())
+		}
+		return nil, reused, err
 	}
-	if !stop() {
+	if resp.Rest != nil {
+		resp.Rest = &rest{source: resp.Rest, exchange: x}
 		return resp, reused, nil
 	}
-	p.put(s, c)
+	x.end(true)
 	return resp, reused, nil
 }
 
-// exchange writes the request and reads its answer. keep tells whether the
-// connection can carry another request.
-func (p *Pool) exchange(c *conn, r *Request) (resp *Response, keep bool, err error) {
-	if err := c.write(r); err != nil {
-		return nil, false, errors.WithMessage(err, "write the request")
+// exchange is one request on a connection.
+type exchange struct {
+	pool   *Pool
+	server Server
+	conn   *conn
+	// stop ends the watch over the context; it returns false when that has closed
+	// the connection.
+	stop func() bool
+	// writer runs while a long body is sent.
+	writer errgroup.Group
+	// sent is closed when all of the request was written; nil for short ones.
+	sent chan struct{}
+	// keep tells whether the connection can carry another request.
+	keep bool
+}
+
+// run writes the request and reads its answer.
+func (x *exchange) run(r *Request) (resp *Response, err error) {
+	c := x.conn
+	c.written.Store(false)
+	if r.Rest == nil && len(r.Body) <= shortBody {
+		if err := c.writeShort(r); err != nil {
+			return nil, errors.WithMessage(err, "write the request")
+		}
+	} else {
+		x.sent = make(chan struct{})
+		x.writer.Go(func() error {
+			err := c.writeLong(r)
+			if err != nil {
+				// The server must not wait for the rest of the body.
+				c.close()
+				return err
+			}
+			close(x.sent)
+			return nil
+		})
 	}
 	for range maxForeign + 1 {
-		resp, keep, err = c.read(r.Method)
+		resp, keep, err := c.read(r.Method)
 		if err != nil {
-			return nil, false, err
+			return nil, err
 		}
-		if resp.Header.Get(p.idHeader) == r.ID {
-			keep = keep && c.reader.Buffered() == 0
-			c.idleUntil = p.now().Add(idleTime(resp.Header))
-			return resp, keep, nil
+		if resp.Header.Get(x.pool.idHeader) == r.ID {
+			x.keep = keep
+			c.idleUntil = x.pool.now().Add(idleTime(resp.Header))
+			return resp, nil
 		}
-		p.count(func(s *Stats) { s.Foreign++ })
-		if !keep {
+		x.pool.count(func(s *Stats) { s.Foreign++ })
+		if !keep || resp.Rest != nil {
 			break
 		}
 	}
-	return nil, false, ErrForeign
+	return nil, ErrForeign
 }
 
-// write sends the request in one piece where it is short.
-func (c *conn) write(r *Request) error {
-	var b bytes.Buffer
-	b.Grow(1024 + len(r.Body))
-	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	if err := r.Header.Write(&b); err != nil {
-		return err
+// end gives the connection back, or closes it. complete tells that the answer was
+// read to its end.
+func (x *exchange) end(complete bool) {
+	live := x.stop()
+	if x.sent != nil {
+		select {
+		case <-x.sent:
+		default:
+			// The server answered before it had the whole body. Whatever followed on
+			// the connection would be taken for the rest of it.
+			x.keep = false
+		}
 	}
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if !complete || !live || !x.keep || x.conn.reader.Buffered() > 0 {
+		x.conn.close()
+		return
 	}
-	b.WriteString("\r\n")
-	b.Write(r.Body)
-	_, err := c.raw.Write(b.Bytes())
-	return err
+	x.pool.put(x.server, x.conn)
 }
 
-// read reads one answer.
-func (c *conn) read(method string) (resp *Response, keep bool, err error) {
-	request := &http.Request{Method: method}
-	for {
-		h, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, false, errors.WithMessage(ErrTruncated, err.Error())
-		}
-		if h.StatusCode >= http.StatusOK {
-			return c.readBody(h)
-		}
-		if h.StatusCode == http.StatusSwitchingProtocols {
-			return nil, false, errors.WithMessage(ErrTruncated, "the server switched protocols")
-		}
-	}
+// rest is the part of an answer that is passed on as it arrives.
+type rest struct {
+	source   io.Reader
+	exchange *exchange
+	// ended tells that the connection was given back or closed.
+	ended bool
 }
 
-func (c *conn) readBody(h *http.Response) (*Response, bool, error) {
-	resp := &Response{Status: h.StatusCode, Header: h.Header, Arrived: time.Now()}
-	size := max(h.ContentLength, 0)
-	if size > maxBody {
-		return nil, false, errors.Errorf("an answer of %d bytes is longer than %d", size, maxBody)
-	}
-	body := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	n, err := io.Copy(body, io.LimitReader(h.Body, maxBody+1))
-	if err != nil {
-		return nil, false, errors.WithMessage(ErrTruncated, err.Error())
-	}
-	if n > maxBody {
-		return nil, false, errors.Errorf("an answer is longer than %d bytes", maxBody)
-	}
-	resp.Body = body.Bytes()
-	return resp, !h.Close, nil
+// Read reads on. An error other than io.EOF tells that the answer is not complete.
+func (r *rest) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	switch {
+	case err == io.EOF:
+		r.finish(true)
+	case err != nil:
+		r.finish(false)
+		err = broken(err)
+	}
+	return n, err
 }
 
-// idleTime returns how long a connection may be idle by the Keep-Alive header of
-// an answer.
-func idleTime(h http.Header) time.Duration {
-	for _, word := range strings.Split(h.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(word), "=")
-		seconds, err := strconv.Atoi(value)
-		if err == nil && strings.EqualFold(name, "timeout") && seconds >= 0 {
-			return min(time.Duration(float64(seconds)*idlePart*float64(time.Second)), maxIdle)
-		}
+// Close ends the exchange.
+func (r *rest) Close() error {
+	r.finish(false)
+	return nil
+}
+
+func (r *rest) finish(complete bool) {
+	if !r.ended {
+		r.ended = true
+		r.exchange.end(complete)
 	}
-	return maxIdle
 }
--- a/wagupstream/pool.go
+++ b/wagupstream/pool.go
@@ -18,8 +18,6 @@
 	idlePart = 0.6
 	// maxKept bounds the idle connections to one server.
 	maxKept = 16
-	// readBuffer is the size of a connection's read buffer in bytes.
-	readBuffer = 4 << 10
 )
 
 // Pool holds connections to servers.
--- a/wagupstream/wagupstream.go
+++ b/wagupstream/wagupstream.go
@@ -1,13 +1,14 @@
 // Package wagupstream sends requests to backend servers over kept connections.
-// It guarantees that an answer belongs to the request it was read for.
+// It guarantees that an answer belongs to the request it was read for, and tells
+// whether a request that failed can have reached its server.
 package wagupstream
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -20,12 +21,19 @@
 	// ErrForeign tells that the answers on the connection belong to other
 	// requests.
 	ErrForeign = errors.New("the answer belongs to another request")
-	// ErrTruncated tells that an answer ended before it was complete.
-	ErrTruncated = errors.New("the answer is not complete")
+	// ErrBroken tells that the connection ended before the answer was complete, or
+	// that its bytes are no answer.
+	ErrBroken = errors.New("the answer is not complete")
 )
 
-// Request is a request as it is written to a server. Body is complete, so that
-// it can be sent more than once.
+// Server names one start of a server at an address.
+type Server struct {
+	Address netip.AddrPort
+	// ID tells the servers apart that have the same address one after the other.
+	ID string
+}
+
+// Request is a request as it is written to a server.
 type Request struct {
 	Method string
 	// Target is the path and query as the caller sent them.
@@ -33,28 +41,29 @@
 	Host   string
 	// Header holds the end-to-end headers.
 	Header http.Header
-	Body   []byte
+	// Body is the whole body, or its beginning when Rest is set.
+	Body []byte
+	// Rest is what follows Body, and Length the length of both; -1 when it is not
+	// known. A request with a Rest can be sent only once.
+	Rest   io.Reader
+	Length int64
 	// ID is echoed by the server under the header that the pool was given.
 	ID string
 }
 
-// Response is a complete answer.
+// Response is an answer.
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
-	// Arrived is when the header was complete.
-	Arrived time.Time
+	// Body is the whole body, or its beginning when Rest is set.
+	Body []byte
+	// Rest is what follows Body; it has to be closed. Its errors tell that the
+	// answer is not complete. Length is the length of both, or -1.
+	Rest   io.ReadCloser
+	Length int64
 }
 
 // Dialer opens connections to servers.
 type Dialer interface {
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
-
-// Server names one start of a server at an address.
-type Server struct {
-	Address netip.AddrPort
-	// ID tells the servers apart that have the same address one after the other.
-	ID string
-}
