wagmesh: Save bytes between data centres and calls to the store on large sites

Change: all objects at once come from the own data centre or the store; large updates are compressed; members are told to whom they concern; unused links between data centres are closed; seeds are asked in turn. Duties go to hosts with at least half of the strongest processor. Hosts whose copy is stale follow the store one after the other.

--- a/waghost/site.go
+++ b/waghost/site.go
@@ -43,6 +43,8 @@
 type SiteSettings struct {
 	Name       string
 	DataCentre string
+	// Processor is the share of a core that the host has, in thousandths.
+	Processor int
 	// Callers, Readiness and Peers are the addresses that the host listens on.
 	Callers, Readiness, Peers netip.AddrPort
 	// Seeds are Peers addresses of some hosts; they may be out of date.
@@ -94,6 +96,7 @@
 	s.sync = wagsync.New(store, s.apply, objects.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log))
 	self := wagroster.Member{
 		Name: settings.Name, DataCentre: settings.DataCentre, Generation: uint64(s.clock.Now().UnixMilli()), Address: settings.Peers,
+		Processor: settings.Processor,
 	}
 	s.mesh = wagmesh.New(self, s.sync, s.owner, wagmesh.WithClock(s.clock), wagmesh.WithLog(s.log),
 		wagmesh.WithSeeds(func() []netip.AddrPort { return *s.seeds.Load() }))
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -30,6 +30,7 @@
 )
 
 var (
+	errUnused     = errors.New("the link is not needed any more")
 	errSilent     = errors.New("the other host is silent")
 	errOverflow   = errors.New("the other host does not read")
 	errNoHello    = errors.New("the first frame is no hello")
@@ -46,8 +47,10 @@
 type link struct {
 	mesh *Mesh
 	// peer is set with the hello and never changes.
-	peer   wagroster.Member
-	cancel context.CancelCauseFunc
+	peer wagroster.Member
+	// inbound tells that the other host opened the link.
+	inbound bool
+	cancel  context.CancelCauseFunc
 
 	mu sync.Mutex
 	// upstream tells that this host learns of changes on the link, subscribed
@@ -72,13 +75,17 @@
 	// stalled tells that the other host did not take note of a request in time and
 	// was not heard since.
 	stalled bool
-	closed  bool
+	// used is when the link was last used for placing requests.
+	used time.Time
+	// bye tells that one of the hosts closes the link because it is not needed.
+	bye    bool
+	closed bool
 }
 
 func (m *Mesh) newLink(cancel context.CancelCauseFunc) *link {
 	now := m.clock.Now()
 	return &link{
-		mesh: m, cancel: cancel, ready: make(chan struct{}, 1), heard: now, nextBeat: now,
+		mesh: m, cancel: cancel, ready: make(chan struct{}, 1), heard: now, nextBeat: now, used: now,
 		known: make(map[string]wagmirror.Revision), asked: make(map[uint64]*asked),
 		taken: make(map[uint64]wagowner.Ticket), granted: make(map[uint64]func(wagplacement.Result)),
 	}
@@ -108,7 +115,9 @@
 	}()
 	ctx, cancel := context.WithCancelCause(in.Context())
 	defer cancel(nil)
-	return m.run(ctx, m.newLink(cancel), in)
+	l := m.newLink(cancel)
+	l.inbound = true
+	return m.run(ctx, l, in)
 }
 
 // runOutbound opens a link and runs it until it ends.
@@ -218,6 +227,9 @@
 		if err := s.Send(f); err != nil {
 			return err
 		}
+		if f.GetBye() {
+			return errUnused
+		}
 	}
 }
 
@@ -272,12 +284,20 @@
 		m.learn(l, f.GetMembers())
 	}
 	if f.Subscribe != nil {
+		l.subscriber(now, f.GetSubscribe())
+	}
+	if f.GetBye() {
 		l.mu.Lock()
-		l.subscribed, l.nextBeat = f.GetSubscribe(), now
+		l.bye = true
 		l.mu.Unlock()
 	}
-	for _, u := range f.GetUpdates() {
-		l.update(updateOf(u))
+	for _, message := range f.GetUpdates() {
+		u, err := updateOf(message)
+		if err != nil {
+			m.log.WithError(err).WithField("host", l.peer.Name).Warning("an update is not valid")
+			continue
+		}
+		l.update(u)
 	}
 	if f.GetBeat() != nil {
 		l.beat(now, f.GetBeat())
@@ -299,6 +319,38 @@
 	}
 }
 
+// subscriber notes whether the other host learns of changes on the link.
+func (l *link) subscriber(now time.Time, want bool) {
+	l.mu.Lock()
+	l.subscribed, l.nextBeat = want, now
+	l.mu.Unlock()
+	if want && !l.near() {
+		// The relays of two data centres tell each other of their hosts.
+		l.mesh.mu.Lock()
+		l.mesh.tell(l, l.mesh.roster.Members())
+		l.mesh.mu.Unlock()
+	}
+}
+
+// near tells whether the other host is in the same data centre.
+func (l *link) near() bool { return l.peer.DataCentre == l.mesh.self.DataCentre }
+
+// concerns tells whether the other host needs to know of a member. Bytes between
+// data centres are dear.
+func (l *link) concerns(m wagroster.Member) bool {
+	if m.Name == l.peer.Name {
+		return false
+	}
+	return l.near() || m.DataCentre == l.peer.DataCentre || m.DataCentre == l.mesh.self.DataCentre && l.synced()
+}
+
+// parted tells whether the link ends because it is not needed.
+func (l *link) parted() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bye
+}
+
 // synced tells whether changes pass on the link.
 func (l *link) synced() bool {
 	l.mu.Lock()
@@ -344,30 +396,37 @@
 
 // push sends the changes that the other host lacks.
 func (l *link) push(complete map[string]wagmirror.Revision) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.upstream && !l.subscribed {
-		return
-	}
 	for kind, revision := range complete {
+		l.mu.Lock()
 		known := l.known[kind]
-		if revision <= known {
+		wanted := (l.upstream || l.subscribed) && revision > known
+		if wanted {
+			l.known[kind] = revision
+		}
+		l.mu.Unlock()
+		if !wanted {
 			continue
 		}
-		u := updateMessage(l.mesh.sync.Since(kind, known))
-		l.known[kind] = revision
-		l.sendLocked(func(f *Frame) { f.Updates = append(f.Updates, u) })
+		u, err := updateMessage(l.mesh.sync.Since(kind, known))
+		if err != nil {
+			l.mesh.log.WithError(err).Warning("an update cannot be encoded")
+			continue
+		}
+		l.send(func(f *Frame) { f.Updates = append(f.Updates, u) })
 	}
 }
 
 // tick sends a beat when one is due and gives up a link that is silent.
 func (l *link) tick(now time.Time) {
-	m := l.mesh
 	every := nearBeat
-	if l.peer.DataCentre != m.roster.Self().DataCentre {
+	if !l.near() {
 		every = farBeat
 	}
 	l.mu.Lock()
+	if !l.near() && !l.inbound && !l.upstream && !l.subscribed && len(l.asked) == 0 && !l.bye && now.Sub(l.used) > unusedTime {
+		l.bye = true
+		l.sendLocked(func(f *Frame) { f.Bye = true })
+	}
 	silent := now.Sub(l.heard) > silentTime
 	due := !now.Before(l.nextBeat)
 	if due {
--- a/wagmesh/message.go
+++ b/wagmesh/message.go
@@ -1,9 +1,15 @@
 package wagmesh
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"net/netip"
 	"time"
 
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
@@ -12,7 +18,7 @@
 )
 
 func memberMessage(m wagroster.Member) *Member {
-	return &Member{Name: m.Name, DataCentre: m.DataCentre, Generation: m.Generation, Address: m.Address.String(), Leaving: m.Leaving}
+	return &Member{Name: m.Name, DataCentre: m.DataCentre, Generation: m.Generation, Address: m.Address.String(), Leaving: m.Leaving, Processor: uint32(max(m.Processor, 0))}
 }
 
 func memberMessages(list []wagroster.Member) []*Member {
@@ -31,25 +37,69 @@
 	}
 	return wagroster.Member{
 		Name: m.GetName(), DataCentre: m.GetDataCentre(), Generation: m.GetGeneration(), Address: address, Leaving: m.GetLeaving(),
+		Processor: int(m.GetProcessor()),
 	}, true
 }
 
-func updateMessage(u wagmirror.Update) *Update {
+// compressFrom is the size of records in bytes from which they are compressed.
+// Objects of servers repeat their field names and shrink to a tenth.
+const compressFrom = 4 << 10
+
+func updateMessage(u wagmirror.Update) (*Update, error) {
 	m := &Update{Kind: u.Kind, Full: u.Full, Since: uint64(u.Since), At: uint64(u.At)}
+	size := 0
 	for _, r := range u.Records {
 		m.Records = append(m.Records, &Record{Name: r.Name, Revision: uint64(r.Revision), Body: r.Body, Deleted: r.Deleted})
+		size += len(r.Body)
 	}
-	return m
+	if size < compressFrom {
+		return m, nil
+	}
+	text, err := proto.Marshal(&Records{Records: m.Records})
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(text); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	m.Records, m.Compressed = nil, b.Bytes()
+	return m, nil
 }
 
-func updateOf(m *Update) wagmirror.Update {
-	u := wagmirror.Update{Kind: m.GetKind(), Full: m.GetFull(), Since: wagmirror.Revision(m.GetSince()), At: wagmirror.Revision(m.GetAt())}
-	for _, r := range m.GetRecords() {
+// maxRecords bounds the size of records after decompression, in bytes.
+const maxRecords = 64 << 20
+
+func updateOf(m *Update) (u wagmirror.Update, err error) {
+	u = wagmirror.Update{Kind: m.GetKind(), Full: m.GetFull(), Since: wagmirror.Revision(m.GetSince()), At: wagmirror.Revision(m.GetAt())}
+	records := m.GetRecords()
+	if len(m.GetCompressed()) > 0 {
+		text, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.GetCompressed())), maxRecords+1))
+		if err != nil {
+			return u, errors.WithMessage(err, "decompress records")
+		}
+		if len(text) > maxRecords {
+			return u, errors.Errorf("the records are longer than %d bytes", maxRecords)
+		}
+		var list Records
+		if err := proto.Unmarshal(text, &list); err != nil {
+			return u, errors.WithMessage(err, "decode records")
+		}
+		records = list.GetRecords()
+	}
+	for _, r := range records {
 		u.Records = append(u.Records, wagmirror.Record{
 			Kind: u.Kind, Name: r.GetName(), Revision: wagmirror.Revision(r.GetRevision()), Body: r.GetBody(), Deleted: r.GetDeleted(),
 		})
 	}
-	return u
+	return u, nil
 }
 
 func placeMessage(id uint64, now time.Time, service string, r wagplacement.Request) *Place {
--- a/wagmesh/place.go
+++ b/wagmesh/place.go
@@ -82,6 +82,7 @@
 	}
 	l.next++
 	id := l.next
+	l.used = clock.Now()
 	l.asked[id] = a
 	l.sendLocked(func(f *Frame) { f.Places = append(f.Places, placeMessage(id, clock.Now(), service, r)) })
 	l.mu.Unlock()
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -37,14 +37,24 @@
 	silentTime = 1200 * time.Millisecond
 	// dialPause is the time between two attempts to reach a host, for each failure.
 	dialPause = 200 * time.Millisecond
+	// seedPause is the time between two attempts to reach a seed while no other
+	// host is linked. An attempt needs up to 11 ms within a region.
+	seedPause = 100 * time.Millisecond
+	// farLoadTime is how long a start tries to read all objects from the store
+	// before it lets a host of another data centre send them.
+	farLoadTime = 3 * time.Second
+	// unusedTime is after how long without use a link to another data centre is
+	// closed.
+	unusedTime = 5 * time.Second
 	// startTime is how long a start waits for other hosts before it follows the
 	// store itself. All hosts of a site start within 0.3 s, and again after a
 	// failure of all within about that.
 	startTime = time.Second
-	// relayStale and hostStale are how old the confirmation of the copy may be
-	// before a relay, or another host, follows the store itself.
+	// relayStale is how old the confirmation of the copy may be before a relay
+	// follows the store itself, and hostStale how much older for each further host
+	// of a data centre.
 	relayStale = 2500 * time.Millisecond
-	hostStale  = 4 * time.Second
+	hostStale  = 1500 * time.Millisecond
 	// maxFrame bounds a frame: the objects of 1,000 servers have 300 bytes each,
 	// and a configuration has up to 1 MB.
 	maxFrame = 4 << 20
@@ -83,7 +93,12 @@
 	// services are the services that this host may need owners of.
 	services []string
 	started  time.Time
-	inbound  int
+	// inbound counts the links that other hosts opened.
+	inbound int
+	// seedTurn counts the seeds that were asked, and nextSeed is when another one
+	// may be.
+	seedTurn int
+	nextSeed time.Time
 }
 
 // dial is the state of opening connections to one address.
@@ -170,9 +185,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.roster.Leave()
-	self := []*Member{memberMessage(m.roster.Self())}
+	self := memberMessage(m.roster.Self())
 	for _, l := range m.allLinks() {
-		l.send(func(f *Frame) { f.Members = append(f.Members, self...) })
+		l.send(func(f *Frame) { f.Members = append(f.Members, self) })
 	}
 }
 
@@ -204,17 +219,18 @@
 			m.ensure(now, owner)
 		}
 	}
-	if len(m.roster.Members()) == 1 {
-		m.greetSeeds(now)
-	}
+	m.greetSeeds(now)
 	relay, _ := m.roster.Relay(now, self.DataCentre)
-	isRelay := relay.Name == self.Name
+	rank := 0
+	if relay.Name != self.Name {
+		rank = 1 + m.roster.Rank(now)
+	}
 	m.lookOut(now)
 	for _, l := range m.allLinks() {
 		l.tick(now)
 	}
 	m.mu.Unlock()
-	m.sync.Follow(m.ctx, m.mustFollow(now, hasUpstream, isRelay))
+	m.sync.Follow(m.ctx, m.mustFollow(now, hasUpstream, rank))
 }
 
 // lookOut notes whether this host reaches the store, and tells the others at once
@@ -244,30 +260,42 @@
 	}
 }
 
-// mustFollow tells whether this host follows the store.
-func (m *Mesh) mustFollow(now time.Time, hasUpstream, isRelay bool) bool {
+// mustFollow tells whether this host follows the store. Hosts whose copy is no
+// longer confirmed follow it one after the other, the relay of a data centre first:
+// when the store is down for all, most of them need not try.
+func (m *Mesh) mustFollow(now time.Time, hasUpstream bool, rank int) bool {
 	if now.Before(m.started.Add(startTime)) {
 		return false
 	}
 	if !hasUpstream {
 		return true
 	}
-	stale := hostStale
-	if isRelay {
-		stale = relayStale
-	}
 	heard := m.sync.HeardAt()
 	if heard.IsZero() {
 		heard = m.started
 	}
-	return now.Sub(heard) > stale
+	return now.Sub(heard) > relayStale+time.Duration(rank)*hostStale
 }
 
-// greetSeeds asks the seeds for other hosts; m.mu is held.
+// greetSeeds asks the seeds in turn for other hosts of this data centre; m.mu is
+// held. Seeds may be out of date, and most are in other data centres.
 func (m *Mesh) greetSeeds(now time.Time) {
-	for _, seed := range m.seeds() {
-		if seed != m.roster.Self().Address {
+	if len(m.links) > 0 || now.Before(m.nextSeed) {
+		return
+	}
+	for _, member := range m.roster.Members()[1:] {
+		if member.DataCentre == m.self.DataCentre {
+			return
+		}
+	}
+	seeds := m.seeds()
+	for range seeds {
+		seed := seeds[m.seedTurn%len(seeds)]
+		m.seedTurn++
+		if seed != m.self.Address {
+			m.nextSeed = now.Add(seedPause)
 			m.open(now, seed)
+			return
 		}
 	}
 }
@@ -275,6 +303,10 @@
 // subscribe keeps the subscription of changes at the upstream host; m.mu is held.
 func (m *Mesh) subscribe(now time.Time, upstream wagroster.Member, want bool) {
 	var to *link
+	if want && upstream.DataCentre != m.self.DataCentre && m.sync.Empty() && now.Before(m.started.Add(farLoadTime)) {
+		// All objects at once are cheaper to read from the store.
+		return
+	}
 	if want {
 		if to = m.linkTo(upstream.Name); to == nil {
 			m.open(now, upstream.Address)
@@ -331,20 +363,36 @@
 // joined registers a link whose hello arrived; m.mu is held.
 func (m *Mesh) joined(l *link) {
 	m.links[l.peer.Name] = append(m.links[l.peer.Name], l)
-	if m.sync.Empty() {
+	if l.near() && m.sync.Empty() {
 		// After a start any host may know what this one needs first.
 		l.subscribe(true)
 	}
 	changed := m.roster.Hear(l.peer)
-	members := memberMessages(m.roster.Members())
-	l.send(func(f *Frame) { f.Members = members })
-	if !changed {
-		return
+	m.tell(l, m.roster.Members())
+	if changed {
+		m.spread(l, []wagroster.Member{l.peer})
+	}
+}
+
+// tell sends the members to the other host that concern it; m.mu is held.
+func (m *Mesh) tell(l *link, members []wagroster.Member) {
+	var list []*Member
+	for _, member := range members {
+		if l.concerns(member) {
+			list = append(list, memberMessage(member))
+		}
+	}
+	if len(list) > 0 {
+		l.send(func(f *Frame) { f.Members = append(f.Members, list...) })
 	}
-	news := []*Member{memberMessage(l.peer)}
-	for _, other := range m.allLinks() {
-		if other != l {
-			other.send(func(f *Frame) { f.Members = append(f.Members, news...) })
+}
+
+// spread passes news of members on: to the hosts that opened links to this one, and
+// upstream; m.mu is held.
+func (m *Mesh) spread(from *link, news []wagroster.Member) {
+	for _, l := range m.allLinks() {
+		if l != from && (l.inbound || l == m.upstream) {
+			m.tell(l, news)
 		}
 	}
 }
@@ -364,7 +412,7 @@
 	}
 	if len(m.links[l.peer.Name]) == 0 {
 		delete(m.links, l.peer.Name)
-		if l.peer.Name != "" && m.ctx.Err() == nil {
+		if l.peer.Name != "" && m.ctx.Err() == nil && !l.parted() {
 			m.roster.Distrust(m.clock.Now(), l.peer.Name)
 		}
 	}
@@ -374,29 +422,18 @@
 func (m *Mesh) learn(from *link, list []*Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var news []*Member
+	var news []wagroster.Member
 	for _, message := range list {
 		member, ok := memberOf(message)
 		if !ok {
 			continue
 		}
-		if member.Name == from.peer.Name {
-			if m.roster.Hear(member) {
-				news = append(news, message)
-			}
-			continue
-		}
-		if m.roster.Learn([]wagroster.Member{member}) {
-			news = append(news, message)
+		if member.Name == from.peer.Name && m.roster.Hear(member) || member.Name != from.peer.Name && m.roster.Learn([]wagroster.Member{member}) {
+			news = append(news, member)
 		}
 	}
-	if len(news) == 0 {
-		return
-	}
-	for _, l := range m.allLinks() {
-		if l != from {
-			l.send(func(f *Frame) { f.Members = append(f.Members, news...) })
-		}
+	if len(news) > 0 {
+		m.spread(from, news)
 	}
 }
 
--- a/wagroster/wagroster.go
+++ b/wagroster/wagroster.go
@@ -21,6 +21,8 @@
 	Generation uint64
 	// Address is where other hosts connect to.
 	Address netip.AddrPort
+	// Processor is the share of a core that the host has, in thousandths.
+	Processor int
 	// Leaving hosts finish what they began and have no duties.
 	Leaving bool
 }
@@ -148,27 +150,56 @@
 	return e.Member, true
 }
 
+// strongPart is the part of the processor of the strongest host that a host needs
+// to have duties. The hosts of a data centre can differ by a factor of five, and
+// the owner of a busy group has to answer within milliseconds.
+const strongPart = 0.5
+
 // Owner returns the member of a data centre that has a duty, or false when none
 // is known that could have it.
 func (r *Roster) Owner(now time.Time, duty, dataCentre string) (owner Member, ok bool) {
+	candidates := r.candidates(now, dataCentre)
 	item := duty + "/" + dataCentre
 	var best uint64
-	consider := func(m Member) {
-		if m.DataCentre != dataCentre || m.Leaving {
-			return
-		}
+	for _, m := range candidates {
 		score := waglease.Score(item, m.Name)
 		if !ok || score > best || score == best && m.Name < owner.Name {
 			owner, best, ok = m, score, true
 		}
 	}
+	return owner, ok
+}
+
+// candidates returns the members of a data centre that can have duties.
+func (r *Roster) candidates(now time.Time, dataCentre string) []Member {
+	// The usual number of hosts of a data centre fits without an allocation.
+	list := make([]Member, 0, 40)
+	most := 0
+	consider := func(m Member) {
+		if m.DataCentre == dataCentre && !m.Leaving {
+			list = append(list, m)
+			most = max(most, m.Processor)
+		}
+	}
 	consider(r.self)
 	for _, e := range r.members {
 		if !now.Before(e.distrustedUntil) {
 			consider(e.Member)
 		}
 	}
-	return owner, ok
+	return slices.DeleteFunc(list, func(m Member) bool { return float64(m.Processor) < strongPart*float64(most) })
+}
+
+// Rank returns how many members of the data centre come before this host when
+// someone has to stand in for the relay.
+func (r *Roster) Rank(now time.Time) (rank int) {
+	own := waglease.Score(DutyRelay, r.self.Name)
+	for _, e := range r.members {
+		if e.DataCentre == r.self.DataCentre && !e.Leaving && !now.Before(e.distrustedUntil) && waglease.Score(DutyRelay, e.Name) > own {
+			rank++
+		}
+	}
+	return rank
 }
 
 // DutyRelay is the duty of the host through which the others of its data centre
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -37,8 +37,8 @@
 	watchPause = 200 * time.Millisecond
 	// loadDelay is how long a start waits for what other hosts know; up to twice as
 	// long, so that a host that starts a little later learns from the first one. A
-	// round trip within a region takes up to 11 ms.
-	loadDelay = 25 * time.Millisecond
+	// start asks a seed and then a host of its data centre, which takes 20 to 50 ms.
+	loadDelay = 50 * time.Millisecond
 	// loadRetry bounds the pause before the first read is repeated.
 	loadRetry = 400 * time.Millisecond
 	// firstRetry and lastRetry bound the pauses while the store fails.
