wagmesh: Keep hosts that do not answer without duties until they are heard

Cause, found by tests on a network in memory: data centres whose hosts knew only a seed followed the store for themselves; links that other hosts had opened stayed for ever when those fell silent; hosts that were still dead got their duties back after 2 s, so that all turned to them again. The first requests that had to leave a data centre were lost while links were opened, and a group without finished requests took waits for 0. Change: relays are told to all data centres, the lead asks a seed every 10 s, silent links end in both directions, a host is trusted again only when it is heard; requests wait up to 40 ms for a link.

--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -41,6 +41,7 @@
 type stream interface {
 	Send(*Frame) error
 	Recv() (*Frame, error)
+	Close() error
 }
 
 // link is a connection to another host, in either direction.
@@ -176,6 +177,9 @@
 	m.mu.Unlock()
 	l.send(func(f *Frame) { f.Hello = hello })
 	defer l.end()
+	// A silent host does not end the wait for its next frame.
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return l.sendFrames(gctx, s) })
 	g.Go(func() error { return l.receiveFrames(gctx, s) })
@@ -335,13 +339,13 @@
 // near tells whether the other host is in the same data centre.
 func (l *link) near() bool { return l.peer.DataCentre == l.mesh.self.DataCentre }
 
-// concerns tells whether the other host needs to know of a member. Bytes between
-// data centres are dear.
-func (l *link) concerns(m wagroster.Member) bool {
+// concerns tells whether the other host needs to know of a member, which may be
+// the relay of its data centre. Bytes between data centres are dear.
+func (l *link) concerns(m wagroster.Member, relay bool) bool {
 	if m.Name == l.peer.Name {
 		return false
 	}
-	return l.near() || m.DataCentre == l.peer.DataCentre || m.DataCentre == l.mesh.self.DataCentre && l.synced()
+	return l.near() || relay || m.DataCentre == l.peer.DataCentre || m.DataCentre == l.mesh.self.DataCentre && l.synced()
 }
 
 // parted tells whether the link ends because it is not needed.
--- a/wagmesh/place.go
+++ b/wagmesh/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 )
@@ -13,6 +14,14 @@
 // once; a packet that is lost is sent again after 200 ms.
 const ackTime = 40 * time.Millisecond
 
+const (
+	// openTime is how long a request waits for a link to another data centre that is
+	// not open. Opening one takes two round trips of up to 11 ms within a region.
+	openTime = 40 * time.Millisecond
+	// openPause is the time between two looks for the link.
+	openPause = 2 * time.Millisecond
+)
+
 // asked is a request that was placed at another host.
 type asked struct {
 	// noted is closed when the other host took note of the request.
@@ -42,11 +51,15 @@
 // PlaceRemote returns a server of another data centre, or nil when its owner does
 // not answer.
 func (m *Mesh) PlaceRemote(ctx context.Context, dataCentre, service string, r wagplacement.Request) wagowner.Outcome {
-	l := m.ownerLink(service, dataCentre)
-	if l == nil {
-		return nil
+	until := m.clock.Now().Add(openTime)
+	for {
+		if l := m.ownerLink(service, dataCentre); l != nil {
+			return l.ask(ctx, service, r)
+		}
+		if !m.clock.Now().Before(until) || !wagclock.Wait(ctx, m.clock, m.clock.Now().Add(openPause)) {
+			return nil
+		}
 	}
-	return l.ask(ctx, service, r)
 }
 
 // ownerLink returns a link to the owner of a group that answers, or nil when this
@@ -55,7 +68,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	owner, ok := m.roster.Owner(now, service, dataCentre)
+	owner, ok := m.roster.Owner(service, dataCentre)
 	if !ok || owner.Name == m.self.Name {
 		return nil
 	}
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -40,6 +40,8 @@
 	// seedPause is the time between two attempts to reach a seed while no other
 	// host is linked. An attempt needs up to 11 ms within a region.
 	seedPause = 100 * time.Millisecond
+	// leadSeedPause is the time between two seeds that the lead asks.
+	leadSeedPause = 10 * time.Second
 	// farLoadTime is how long a start tries to read all objects from the store
 	// before it lets a host of another data centre send them.
 	farLoadTime = 3 * time.Second
@@ -158,7 +160,7 @@
 	m.started = m.clock.Now()
 	m.group.Go(func() error {
 		err := server.Serve(m.ctx, l)
-		if m.ctx.Err() != nil {
+		if ctx.Err() != nil || m.ctx.Err() != nil {
 			return nil
 		}
 		return err
@@ -215,15 +217,18 @@
 	self := m.roster.Self()
 	m.subscribe(now, upstream, hasUpstream)
 	for _, service := range m.services {
-		if owner, ok := m.roster.Owner(now, service, self.DataCentre); ok && owner.Name != self.Name {
+		if owner, ok := m.roster.Owner(service, self.DataCentre); ok && owner.Name != self.Name {
 			m.ensure(now, owner)
 		}
 	}
-	m.greetSeeds(now)
-	relay, _ := m.roster.Relay(now, self.DataCentre)
+	m.greetSeeds(now, !hasUpstream)
+	for _, member := range m.roster.Untried(now) {
+		m.open(now, member.Address)
+	}
+	relay, _ := m.roster.Relay(self.DataCentre)
 	rank := 0
 	if relay.Name != self.Name {
-		rank = 1 + m.roster.Rank(now)
+		rank = 1 + m.roster.Rank()
 	}
 	m.lookOut(now)
 	for _, l := range m.allLinks() {
@@ -277,17 +282,13 @@
 	return now.Sub(heard) > relayStale+time.Duration(rank)*hostStale
 }
 
-// greetSeeds asks the seeds in turn for other hosts of this data centre; m.mu is
+// greetSeeds asks the seeds in turn for other hosts while none is linked, and now
+// and then at the lead, which might be that of only a part of the site; m.mu is
 // held. Seeds may be out of date, and most are in other data centres.
-func (m *Mesh) greetSeeds(now time.Time) {
-	if len(m.links) > 0 || now.Before(m.nextSeed) {
+func (m *Mesh) greetSeeds(now time.Time, isLead bool) {
+	if now.Before(m.nextSeed) || len(m.links) > 0 && (!isLead || now.Before(m.nextSeed.Add(leadSeedPause))) {
 		return
 	}
-	for _, member := range m.roster.Members()[1:] {
-		if member.DataCentre == m.self.DataCentre {
-			return
-		}
-	}
 	seeds := m.seeds()
 	for range seeds {
 		seed := seeds[m.seedTurn%len(seeds)]
@@ -378,7 +379,8 @@
 func (m *Mesh) tell(l *link, members []wagroster.Member) {
 	var list []*Member
 	for _, member := range members {
-		if l.concerns(member) {
+		relay, _ := m.roster.Relay(member.DataCentre)
+		if l.concerns(member, relay.Name == member.Name) {
 			list = append(list, memberMessage(member))
 		}
 	}
--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -80,24 +80,36 @@
 	return all * (1 - c.load.slow), free * (1 - c.load.slow)
 }
 
+// noServer is the wait of a request while there is no server; no deadline is as
+// far away.
+const noServer = 365 * 24 * time.Hour
+
 // wait estimates how long a request waits behind a number of others.
-func (c *Core) wait(now time.Time, ahead int) time.Duration {
+func (c *Core) wait(now time.Time, w *waiter, ahead int) time.Duration {
 	all, free := c.slots(now)
 	if all == 0 {
-		return math.MaxInt64 / 4
+		return noServer
 	}
 	behind := float64(ahead) + 1 - free
 	if behind <= 0 {
 		return 0
 	}
-	return time.Duration(behind / all * float64(c.load.hold))
+	return time.Duration(behind / all * float64(c.hold(w)))
+}
+
+// hold is the mean time that a request holds a slot.
+func (c *Core) hold(w *waiter) time.Duration {
+	if c.load.hold == 0 {
+		return w.route.work
+	}
+	return c.load.hold
 }
 
 // admit decides whether a request that just came, or that has become late, waits.
 // It returns false when the request was refused.
 func (c *Core) admit(now time.Time, w *waiter) bool {
 	ahead := c.waiting.ahead(now, w)
-	wait := c.wait(now, ahead)
+	wait := c.wait(now, w, ahead)
 	if !now.Add(wait).After(w.latest()) {
 		return true
 	}
@@ -108,7 +120,7 @@
 	if c.spill(now, w) {
 		return true
 	}
-	if spare := c.spare(now); spare > 0 {
+	if spare := c.spare(now, w); spare > 0 {
 		late := time.Duration(float64(ahead+1) / spare * float64(time.Second))
 		if !now.Add(late).After(w.last()) {
 			return true
@@ -121,12 +133,9 @@
 
 // spare returns the rate at which requests that are late can be served, or 0 when
 // those in time need all slots.
-func (c *Core) spare(now time.Time) float64 {
+func (c *Core) spare(now time.Time, w *waiter) float64 {
 	all, _ := c.slots(now)
-	if all == 0 || c.load.hold == 0 {
-		return all
-	}
-	capacity := all / c.load.hold.Seconds()
+	capacity := all / c.hold(w).Seconds()
 	c.load.decay(now)
 	spare := capacity - c.load.arrivals
 	if spare < spareShare*capacity {
--- a/wagplacement/choose.go
+++ b/wagplacement/choose.go
@@ -26,7 +26,7 @@
 	c.waiting.sort(now)
 	var kept []*waiter
 	for _, w := range c.waiting.list {
-		if now.After(w.last()) {
+		if !now.Before(w.last()) {
 			c.refuse(w.ID, ReasonOverload, now.Add(minRetry))
 			continue
 		}
--- a/wagplacement/core.go
+++ b/wagplacement/core.go
@@ -135,11 +135,11 @@
 // Tick does what is due.
 func (c *Core) Tick(now time.Time) {
 	for _, g := range c.granted {
-		if now.After(g.request.Deadline.Add(grantGrace)) {
+		if !now.Before(g.request.Deadline.Add(grantGrace)) {
 			c.release(g)
 			continue
 		}
-		if !g.stuck && now.Sub(g.at) > g.usual(stuckFactor) {
+		if !g.stuck && now.Sub(g.at) >= g.usual(stuckFactor) {
 			g.stuck = true
 			g.server.stuck++
 		}
--- a/wagplacement/queue.go
+++ b/wagplacement/queue.go
@@ -30,7 +30,7 @@
 }
 
 // isLate tells whether the request cannot be answered by its goal any more.
-func (w *waiter) isLate(now time.Time) bool { return now.After(w.latest()) }
+func (w *waiter) isLate(now time.Time) bool { return !now.Before(w.latest()) }
 
 func (w *waiter) refusedBy(dataCentre string) bool { return slices.Contains(w.asked, dataCentre) }
 
--- a/wagroster/wagroster.go
+++ b/wagroster/wagroster.go
@@ -28,10 +28,10 @@
 }
 
 const (
-	// firstDistrust is how long a host that did not answer gets no duty.
-	firstDistrust = 2 * time.Second
-	// maxDistrust bounds that time, which doubles at each failure in a row.
-	maxDistrust = 30 * time.Second
+	// firstTry is after how long a host that did not answer is tried again.
+	firstTry = time.Second
+	// maxTry bounds that time, which doubles at each failure in a row.
+	maxTry = 30 * time.Second
 	// maxMembers bounds the members that are kept. The largest planned site has
 	// 1,500 hosts.
 	maxMembers = 4096
@@ -47,11 +47,11 @@
 
 type entry struct {
 	Member
-	// distrustedUntil is until when the host gets no duty, because it did not
-	// answer.
-	distrustedUntil time.Time
-	// failures counts the failures in a row.
+	// failures counts how often in a row the host did not answer. It gets no duty
+	// until it is heard again.
 	failures int
+	// nextTry is when the host is to be tried again; zero when it answers.
+	nextTry time.Time
 	// blindUntil is until when the host does not follow the store for others,
 	// because it did not reach it.
 	blindUntil time.Time
@@ -85,7 +85,7 @@
 	changed := e.Member != m
 	e.Member = m
 	if !m.Leaving {
-		e.failures, e.distrustedUntil = 0, time.Time{}
+		e.failures, e.nextTry = 0, time.Time{}
 	}
 	return changed
 }
@@ -103,7 +103,7 @@
 			r.members[m.Name] = e
 		}
 		if m.Generation != e.Generation {
-			e.failures, e.distrustedUntil = 0, time.Time{}
+			e.failures, e.nextTry = 0, time.Time{}
 		}
 		e.Member = m
 		changed = true
@@ -111,21 +111,24 @@
 	return changed
 }
 
-// Distrust notes that a member did not answer.
+// Distrust notes that a member did not answer. It gets no duty until it is heard.
 func (r *Roster) Distrust(now time.Time, name string) {
 	e, ok := r.members[name]
 	if !ok {
 		return
 	}
-	e.distrustedUntil = now.Add(min(firstDistrust<<min(e.failures, 8), maxDistrust))
+	e.nextTry = now.Add(min(firstTry<<min(e.failures, 8), maxTry))
 	e.failures++
 }
 
-// Trust notes that a member answers.
-func (r *Roster) Trust(name string) {
-	if e, ok := r.members[name]; ok {
-		e.failures, e.distrustedUntil = 0, time.Time{}
+// Untried returns the members that did not answer and are to be tried again now.
+func (r *Roster) Untried(now time.Time) (list []Member) {
+	for _, e := range r.members {
+		if e.failures > 0 && !e.Leaving && !now.Before(e.nextTry) {
+			list = append(list, e.Member)
+		}
 	}
+	return list
 }
 
 // Members returns all members, the host itself first.
@@ -157,8 +160,8 @@
 
 // Owner returns the member of a data centre that has a duty, or false when none
 // is known that could have it.
-func (r *Roster) Owner(now time.Time, duty, dataCentre string) (owner Member, ok bool) {
-	candidates := r.candidates(now, dataCentre)
+func (r *Roster) Owner(duty, dataCentre string) (owner Member, ok bool) {
+	candidates := r.candidates(dataCentre)
 	item := duty + "/" + dataCentre
 	var best uint64
 	for _, m := range candidates {
@@ -171,7 +174,7 @@
 }
 
 // candidates returns the members of a data centre that can have duties.
-func (r *Roster) candidates(now time.Time, dataCentre string) []Member {
+func (r *Roster) candidates(dataCentre string) []Member {
 	// The usual number of hosts of a data centre fits without an allocation.
 	list := make([]Member, 0, 40)
 	most := 0
@@ -183,7 +186,7 @@
 	}
 	consider(r.self)
 	for _, e := range r.members {
-		if !now.Before(e.distrustedUntil) {
+		if e.failures == 0 {
 			consider(e.Member)
 		}
 	}
@@ -192,10 +195,10 @@
 
 // Rank returns how many members of the data centre come before this host when
 // someone has to stand in for the relay.
-func (r *Roster) Rank(now time.Time) (rank int) {
+func (r *Roster) Rank() (rank int) {
 	own := waglease.Score(DutyRelay, r.self.Name)
 	for _, e := range r.members {
-		if e.DataCentre == r.self.DataCentre && !e.Leaving && !now.Before(e.distrustedUntil) && waglease.Score(DutyRelay, e.Name) > own {
+		if e.DataCentre == r.self.DataCentre && !e.Leaving && e.failures == 0 && waglease.Score(DutyRelay, e.Name) > own {
 			rank++
 		}
 	}
@@ -207,8 +210,8 @@
 const DutyRelay = "relay"
 
 // Relay returns the host from which the others of a data centre learn of changes.
-func (r *Roster) Relay(now time.Time, dataCentre string) (Member, bool) {
-	return r.Owner(now, DutyRelay, dataCentre)
+func (r *Roster) Relay(dataCentre string) (Member, bool) {
+	return r.Owner(DutyRelay, dataCentre)
 }
 
 // blindTime is how long a host that does not reach the store is not asked to
@@ -255,7 +258,7 @@
 	found, foundBlind := false, false
 	var best uint64
 	for _, dataCentre := range r.DataCentres() {
-		m, ok := r.Relay(now, dataCentre)
+		m, ok := r.Relay(dataCentre)
 		if !ok {
 			continue
 		}
@@ -271,7 +274,7 @@
 // Upstream returns the host from which this one learns of changes, or false when
 // it follows the store itself.
 func (r *Roster) Upstream(now time.Time) (Member, bool) {
-	relay, ok := r.Relay(now, r.self.DataCentre)
+	relay, ok := r.Relay(r.self.DataCentre)
 	if ok && relay.Name != r.self.Name {
 		return relay, true
 	}
