--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -290,7 +290,7 @@
 		x.store.set(func() { x.store.down = true })
 		pass(time.Second)
 		is.True(x.sync.Blind())
-		calls := x.store.lists + x.store.watches
+		calls := x.store.calls()
 		pass(10 * time.Second)
 		is.True(x.store.calls()-calls <= 2*2*11)
 		before := x.sync.Confirmed()
