waglog: Write the decisions of hosts as bounded lines, and count them

Cause: a failed request could not be followed from its id. Change: one line for each request, failed attempt, grant, refusal, spill and change of what a host believes, with inputs and their age; each kind has a bound and writing never blocks. Counters and histograms on the readiness port. Servers that cannot be reached do not count as attempts; a request that ended without a report no longer counts as running after its end (wagowner tests).

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -8,12 +8,13 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailspar/wagtailspar/platform"
 	"github.com/wagtailspar/wagtailspar/waghost"
+	"github.com/wagtailspar/wagtailspar/waglog"
+	"github.com/wagtailspar/wagtailspar/wagmetrics"
 )
 
 // reloadTime is how often the settings file is looked at, because it may change
@@ -31,11 +32,12 @@
 			if err != nil {
 				return err
 			}
-			log := logrus.New()
-			log.SetOutput(os.Stdout)
+			log := waglog.New(os.Stdout, s.Host)
+			metrics := wagmetrics.NewSite()
 			ctx, stop := untilSignal(ctx)
 			defer stop()
-			h := waghost.NewSite(s.Site(), platform.NewStore(s.Store.Address), platform.Objects{}, platform.Protocol{}, waghost.WithSiteLog(log))
+			h := waghost.NewSite(s.Site(), platform.NewStore(s.Store.Address, platform.WithObserver(metrics.StoreCall)), platform.Objects{}, platform.Protocol{},
+				waghost.WithSiteLog(log), waghost.WithSiteMetrics(metrics))
 			running, end := context.WithCancel(ctx)
 			defer end()
 			var g errgroup.Group
@@ -43,6 +45,7 @@
 				reloadSettings(running, file, h, log)
 				return nil
 			})
+			g.Go(func() error { return log.Run(running) })
 			err = h.Run(ctx)
 			end()
 			_ = g.Wait() // always nil
@@ -53,7 +56,7 @@
 
 // reloadSettings puts changes of the settings file in force until ctx ends. A file
 // that is not valid changes nothing.
-func reloadSettings(ctx context.Context, file string, h *waghost.Site, log logrus.FieldLogger) {
+func reloadSettings(ctx context.Context, file string, h *waghost.Site, log *waglog.Log) {
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
 	defer signal.Stop(hangUps)
@@ -65,14 +68,14 @@
 		case <-ctx.Done():
 			return
 		case <-hangUps:
-			log.Info("signal to read the settings again")
+			log.Decide(waglog.KindHost, waglog.Fields{"event": "hangUp"})
 			failed = ""
 		case <-ticker.C:
 		}
 		s, err := platform.LoadSettings(file)
 		if err != nil {
 			if err.Error() != failed {
-				log.WithError(err).Warning("the settings file is not valid; the former settings stay in force")
+				log.Warn(waglog.KindHost, waglog.Fields{"event": "reload", "error": err.Error(), "reason": "the former settings stay in force"})
 			}
 			failed = err.Error()
 			continue
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -17,13 +17,19 @@
 )
 
 const (
-	// defaultPatience is how long a caller is taken to wait that does not tell.
-	defaultPatience = 30 * time.Second
 	// maxBody is up to which size a body is kept, so that it can be sent again.
 	maxBody = 256 << 10
 	// dialTime bounds the wait for a connection to a server. One needs 1 ms
 	// beside the delay of the link; a lost packet is sent again after a second.
 	dialTime = 150 * time.Millisecond
+	// maxTries bounds the servers that are tried for one request, also those that
+	// cannot be reached. Each of these costs up to dialTime.
+	maxTries = 6
+	// startRetry is when a caller is told to come again to a host that knows no
+	// configuration yet. A start reads it within 0.1 s.
+	startRetry = 200 * time.Millisecond
+	// rejectRetry is the same after servers rejected the request as full.
+	rejectRetry = 30 * time.Millisecond
 	// timeoutMargin is how long before the caller's deadline a request ends, so
 	// that the answer still arrives.
 	timeoutMargin = 5 * time.Millisecond
@@ -47,13 +53,21 @@
 	length int64
 	// mayHaveRun tells that an attempt may have been run by a server.
 	mayHaveRun bool
-	attempts   int
-	avoid      []string
+	// attempts counts the servers that the request was sent to, and tries also those
+	// that could not be reached.
+	attempts, tries int
+	avoid           []string
+	// server is the last one that the request was sent to, and waited how long the
+	// request waited for servers.
+	server  string
+	waited  time.Duration
+	version wagsite.Version
 }
 
 // answer is what the caller gets.
 type answer struct {
-	status int
+	status  int
+	outcome Outcome
 	// response is the answer of a server, or nil.
 	response *wagupstream.Response
 	// retryAt is when a refused request may come again.
@@ -63,6 +77,7 @@
 
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := g.clock.Now()
 	q, a := g.take(r)
 	if q != nil {
 		if q.rest != nil {
@@ -73,9 +88,26 @@
 		defer cancel()
 		a = q.run(ctx)
 	}
+	g.observer.RequestEnded(g.end(r, q, a, began))
 	g.answer(w, r, a)
 }
 
+// end describes the end of a request; q is nil when it was not taken.
+func (g *Gateway) end(r *http.Request, q *request, a answer, began time.Time) RequestEnd {
+	e := RequestEnd{
+		Request: g.protocol.RequestID(r.Header), Caller: r.RemoteAddr, Outcome: a.outcome, Status: a.status, Reason: a.reason,
+		Took: g.clock.Now().Sub(began),
+	}
+	if q != nil {
+		e.Route, e.Service, e.Version, e.Server, e.Attempts, e.Waited = q.route.Name, q.service, q.version, q.server, q.attempts, q.waited
+		e.InGoal = a.outcome == OutcomeAnswered && e.Took <= q.route.Goal
+	}
+	if r.Context().Err() != nil {
+		e.Outcome = OutcomeLeft
+	}
+	return e
+}
+
 // streamBody permits that a server answers before it has the whole body. It returns
 // a function that ends the reading of the rest.
 func streamBody(w http.ResponseWriter) func() {
@@ -94,16 +126,16 @@
 	now := g.clock.Now()
 	config := g.config.Load()
 	if config == nil {
-		return nil, answer{status: http.StatusServiceUnavailable, reason: "no configuration", retryAt: now.Add(time.Second)}
+		return nil, answer{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: "noConfiguration", retryAt: now.Add(startRetry)}
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := config.Match(r.Host, path)
 	if route == nil {
-		return nil, answer{status: http.StatusNotFound, reason: "no route"}
+		return nil, answer{status: http.StatusNotFound, outcome: OutcomeRejected, reason: "noRoute"}
 	}
 	q := &request{
 		gateway: g, in: r, route: route, service: route.Service(g.number(route.Name)),
-		id: g.protocol.RequestID(r.Header), arrived: now, deadline: now.Add(route.Timeout),
+		id: g.protocol.RequestID(r.Header), version: config.Version, arrived: now, deadline: now.Add(route.Timeout),
 	}
 	if patience, ok := g.protocol.Patience(r.Header); ok {
 		if until := now.Add(patience - timeoutMargin); until.Before(q.deadline) {
@@ -120,7 +152,7 @@
 // when the body cannot be taken.
 func (q *request) readBody(limit int64) *answer {
 	if q.in.ContentLength > limit {
-		return &answer{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
+		return &answer{status: http.StatusRequestEntityTooLarge, outcome: OutcomeRejected, reason: "bodyTooLong"}
 	}
 	var body bytes.Buffer
 	source := http.MaxBytesReader(nil, q.in.Body, limit)
@@ -128,12 +160,12 @@
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
-		return &answer{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}
+		return &answer{status: http.StatusRequestEntityTooLarge, outcome: OutcomeRejected, reason: "bodyTooLong"}
 	case err == nil:
 		// What a server leaves unread of it must not be taken for the next request.
 		q.rest, q.length, q.in.Close = source, q.in.ContentLength, true
-	case err != io.EOF:
-		return &answer{status: http.StatusBadRequest, reason: "the body could not be read: " + err.Error()}
+	case !errors.Is(err, io.EOF):
+		return &answer{status: http.StatusBadRequest, outcome: OutcomeRejected, reason: "bodyBroken"}
 	}
 	q.body = body.Bytes()
 	return nil
@@ -144,9 +176,12 @@
 	for {
 		r := wagplacement.Request{
 			Route: q.route.Name, Rank: q.route.Rank, Goal: q.arrived.Add(q.route.Goal), Deadline: q.deadline,
-			Avoid: q.avoid, Repeat: q.attempts > 0,
+			Name: q.id, Avoid: q.avoid, Repeat: q.attempts > 0,
 		}
-		switch x := q.gateway.placer.Place(ctx, q.service, r).(type) {
+		asked := q.gateway.clock.Now()
+		outcome := q.gateway.placer.Place(ctx, q.service, r)
+		q.waited += q.gateway.clock.Now().Sub(asked)
+		switch x := outcome.(type) {
 		case wagowner.Granted:
 			a, final := q.attempt(ctx, x)
 			if final {
@@ -163,9 +198,9 @@
 // refused answers a request that no server is to run.
 func (q *request) refused(x wagowner.Refused) answer {
 	if q.mayHaveRun {
-		return answer{status: http.StatusBadGateway, reason: string(x.Reason)}
+		return answer{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: string(x.Reason)}
 	}
-	return answer{status: http.StatusServiceUnavailable, reason: string(x.Reason), retryAt: x.RetryAt}
+	return answer{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: string(x.Reason), retryAt: x.RetryAt}
 }
 
 // attempt sends the request to one server. final is false when another attempt
@@ -174,32 +209,54 @@
 	g := q.gateway
 	start := g.clock.Now()
 	q.attempts++
-	out := q.outgoing(granted.Server.ID, q.deadline.Sub(start))
+	q.tries++
+	q.server = granted.Server.ID
+	left := q.deadline.Sub(start)
 	server := wagupstream.Server{Address: granted.Server.Address, ID: granted.Server.ID}
-	resp, _, err := g.upstream.Exchange(ctx, server, out, start.Add(dialTime))
-	result := wagplacement.Result{Took: g.clock.Now().Sub(start)}
-	defer func() { granted.Finish(result) }()
-	if err != nil {
-		result.Fault = q.fault(ctx, err)
-		return q.failed(ctx, result.Fault, granted.Server.ID, err.Error())
+	resp, reused, err := g.upstream.Exchange(ctx, server, q.outgoing(granted.Server.ID, left), start.Add(dialTime))
+	result, reason := q.judge(ctx, resp, err)
+	result.Took = g.clock.Now().Sub(start)
+	granted.Finish(result)
+	e := AttemptEnd{
+		Request: q.id, Service: q.service, Server: granted.Server.ID, Number: q.attempts, Fault: result.Fault, Reason: reason,
+		Reused: reused, Took: result.Took, Left: left,
 	}
-	result.Report, result.HasReport = g.protocol.Report(resp.Header)
-	if g.protocol.Misdirected(resp.Status) {
-		result.Fault = wagplacement.FaultGone
-		return q.failed(ctx, result.Fault, granted.Server.ID, "another server has the address")
+	if resp != nil {
+		e.Status = resp.Status
 	}
-	if g.protocol.NotRun(resp.Status, resp.Header) {
-		result.Fault = wagplacement.FaultRejected
-		return q.failed(ctx, result.Fault, granted.Server.ID, "the server rejected the request")
+	g.observer.AttemptEnded(e)
+	if result.Fault == wagplacement.FaultNone || result.Fault == wagplacement.FaultError {
+		return answer{status: resp.Status, outcome: OutcomeAnswered, response: resp}, true
 	}
-	if resp.Status < http.StatusMultipleChoices && !g.protocol.Signed(resp.Header) {
-		result.Fault = wagplacement.FaultBroken
-		return q.failed(ctx, result.Fault, granted.Server.ID, "the answer is not signed")
+	if resp != nil && resp.Rest != nil {
+		_ = resp.Rest.Close() // always nil
 	}
-	if resp.Status >= http.StatusInternalServerError {
-		result.Fault = wagplacement.FaultError
+	return q.failed(ctx, result.Fault, reason)
+}
+
+// judge tells what an exchange says of the server, and why an answer is not passed
+// on.
+func (q *request) judge(ctx context.Context, resp *wagupstream.Response, err error) (r wagplacement.Result, reason string) {
+	if err != nil {
+		r.Fault = q.fault(ctx, err)
+		return r, err.Error()
 	}
-	return answer{status: resp.Status, response: resp}, true
+	p := q.gateway.protocol
+	r.Report, r.HasReport = p.Report(resp.Header)
+	switch {
+	case p.Misdirected(resp.Status):
+		r.Fault = wagplacement.FaultGone
+		return r, "otherServer"
+	case p.NotRun(resp.Status, resp.Header):
+		r.Fault = wagplacement.FaultRejected
+		return r, "rejected"
+	case resp.Status < http.StatusMultipleChoices && !p.Signed(resp.Header):
+		r.Fault = wagplacement.FaultBroken
+		return r, "notSigned"
+	case resp.Status >= http.StatusInternalServerError:
+		r.Fault = wagplacement.FaultError
+	}
+	return r, ""
 }
 
 // fault tells how an exchange failed.
@@ -217,23 +274,30 @@
 }
 
 // failed decides what follows a failed attempt.
-func (q *request) failed(ctx context.Context, fault wagplacement.Fault, serverID, reason string) (answer, bool) {
+func (q *request) failed(ctx context.Context, fault wagplacement.Fault, reason string) (answer, bool) {
 	switch fault {
-	case wagplacement.FaultConnect, wagplacement.FaultRejected, wagplacement.FaultGone:
+	case wagplacement.FaultConnect:
+		q.attempts--
+	case wagplacement.FaultRejected, wagplacement.FaultGone:
 	default:
 		q.mayHaveRun = true
 	}
-	q.avoid = append(q.avoid, serverID)
-	if ctx.Err() == nil && q.attempts < q.route.Attempts && (q.route.Idempotent || !q.mayHaveRun) && q.rest == nil {
+	q.avoid = append(q.avoid, q.server)
+	if q.mayRepeat(ctx) {
 		return answer{}, false
 	}
 	if !q.mayHaveRun {
-		return answer{status: http.StatusServiceUnavailable, reason: reason, retryAt: q.gateway.clock.Now()}, true
+		return answer{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: reason, retryAt: q.gateway.clock.Now().Add(rejectRetry)}, true
 	}
 	if fault == wagplacement.FaultTimeout {
-		return answer{status: http.StatusGatewayTimeout, reason: reason}, true
+		return answer{status: http.StatusGatewayTimeout, outcome: OutcomeFailed, reason: reason}, true
 	}
-	return answer{status: http.StatusBadGateway, reason: reason}, true
+	return answer{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: reason}, true
+}
+
+// mayRepeat tells whether the request may be sent to another server.
+func (q *request) mayRepeat(ctx context.Context) bool {
+	return ctx.Err() == nil && q.attempts < q.route.Attempts && q.tries < maxTries && (q.route.Idempotent || !q.mayHaveRun) && q.rest == nil
 }
 
 // outgoing builds the request that a server gets.
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +57,7 @@
 	upstream *wagupstream.Pool
 	clock    wagclock.Clock
 	log      logrus.FieldLogger
+	observer Observer
 
 	// config is nil until the first configuration is in force.
 	config   atomic.Pointer[wagsite.Config]
@@ -76,7 +76,7 @@
 
 // New returns a gateway without a configuration.
 func New(protocol Protocol, placer Placer, upstream *wagupstream.Pool, opts ...Option) *Gateway {
-	g := &Gateway{protocol: protocol, placer: placer, upstream: upstream, clock: wagclock.System{}, log: logrus.StandardLogger()}
+	g := &Gateway{protocol: protocol, placer: placer, upstream: upstream, clock: wagclock.System{}, log: logrus.StandardLogger(), observer: discard{}}
 	for _, o := range opts {
 		o(g)
 	}
@@ -121,12 +121,3 @@
 	}
 	return n.(*atomic.Uint64).Add(1)
 }
-
-// callerAddress is what the log says of a caller.
-func callerAddress(r *http.Request) netip.AddrPort {
-	a, err := netip.ParseAddrPort(r.RemoteAddr)
-	if err != nil {
-		return netip.AddrPort{}
-	}
-	return a
-}
--- /dev/null
+++ b/waghost/observe.go
@@ -0,0 +1,95 @@
+package waghost
+
+import (
+	"time"
+
+	"github.com/wagtailspar/wagtailspar/waggateway"
+	"github.com/wagtailspar/wagtailspar/waglog"
+	"github.com/wagtailspar/wagtailspar/wagmetrics"
+	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagserver"
+)
+
+// observer writes what a host decides to its log and its metrics.
+type observer struct {
+	log     *waglog.Log
+	metrics *wagmetrics.Site
+}
+
+var (
+	_ waggateway.Observer = observer{}
+	_ wagowner.Observer   = observer{}
+)
+
+// RequestEnded logs the end of a request.
+func (o observer) RequestEnded(e waggateway.RequestEnd) {
+	o.metrics.Requests.WithLabelValues(e.Route, string(e.Outcome), e.Reason).Inc()
+	if e.Route != "" {
+		o.metrics.Took.WithLabelValues(e.Route).Observe(e.Took.Seconds())
+		o.metrics.Waited.WithLabelValues(e.Service).Observe(e.Waited.Seconds())
+	}
+	o.log.Decide(waglog.KindRequest, waglog.Fields{
+		"request": e.Request, "caller": e.Caller, "route": e.Route, "service": e.Service, "version": uint64(e.Version),
+		"outcome": e.Outcome, "status": e.Status, "reason": e.Reason, "server": e.Server, "attempts": e.Attempts,
+		"waitedMs": ms(e.Waited), "tookMs": ms(e.Took), "inGoal": e.InGoal,
+	})
+}
+
+// AttemptEnded logs attempts that ended otherwise than with an answer.
+func (o observer) AttemptEnded(e waggateway.AttemptEnd) {
+	o.metrics.Attempts.WithLabelValues(e.Service, e.Fault.String()).Inc()
+	if e.Number > 1 {
+		o.metrics.Repeats.WithLabelValues(e.Service).Inc()
+	}
+	if e.Fault == wagplacement.FaultNone {
+		return
+	}
+	o.log.Decide(waglog.KindAttempt, waglog.Fields{
+		"request": e.Request, "service": e.Service, "server": e.Server, "attempt": e.Number, "fault": e.Fault.String(), "status": e.Status,
+		"reason": e.Reason, "reused": e.Reused, "tookMs": ms(e.Took), "leftMs": ms(e.Left),
+	})
+}
+
+// Granted logs the server of a request.
+func (o observer) Granted(service string, waited time.Duration, g wagplacement.Grant) {
+	o.metrics.Grants.WithLabelValues(service).Inc()
+	o.metrics.ReportAge.WithLabelValues(service).Observe(g.Inputs.ReportAge.Seconds())
+	o.log.Decide(waglog.KindGrant, waglog.Fields{
+		"request": g.Request.Name, "service": service, "server": g.Server.ID, "running": g.Inputs.Running, "slowness": g.Inputs.Slowness,
+		"reportAgeMs": ms(g.Inputs.ReportAge), "waiting": g.Inputs.Waiting, "slots": g.Inputs.Slots, "waitedMs": ms(waited),
+		"late": g.Inputs.Late, "repeat": g.Request.Repeat, "foreign": g.Request.Foreign,
+	})
+}
+
+// Refused logs why a request got no server.
+func (o observer) Refused(service string, waited time.Duration, r wagplacement.Refuse) {
+	o.metrics.Refusals.WithLabelValues(service, string(r.Reason)).Inc()
+	o.log.Decide(waglog.KindRefusal, waglog.Fields{
+		"request": r.Request.Name, "service": service, "reason": r.Reason, "expectedMs": ms(r.Inputs.Expected), "waiting": r.Inputs.Waiting,
+		"slots": r.Inputs.Slots, "waitedMs": ms(waited), "repeat": r.Request.Repeat, "foreign": r.Request.Foreign,
+	})
+}
+
+// Spilled logs that another data centre was asked.
+func (o observer) Spilled(service string, s wagplacement.Spill, granted bool) {
+	outcome := "refused"
+	if granted {
+		outcome = "granted"
+	}
+	o.metrics.Spills.WithLabelValues(service, outcome).Inc()
+	o.log.Decide(waglog.KindSpill, waglog.Fields{"request": s.Request.Name, "service": service, "dataCentre": s.DataCentre, "outcome": outcome})
+}
+
+// Probed counts probes, and logs those that failed.
+func (o observer) Probed(server wagserver.Instance, r wagplacement.Result) {
+	o.metrics.Probes.WithLabelValues(server.Service, r.Fault.String()).Inc()
+	if r.Fault != wagplacement.FaultNone {
+		o.log.Decide(waglog.KindServer, waglog.Fields{"server": server.ID, "service": server.Service, "probe": r.Fault.String(), "tookMs": ms(r.Took)})
+	}
+}
+
+// ms returns milliseconds with three decimals.
+func ms(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -13,12 +13,13 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/waggateway"
+	"github.com/wagtailspar/wagtailspar/waglog"
 	"github.com/wagtailspar/wagtailspar/wagmesh"
+	"github.com/wagtailspar/wagtailspar/wagmetrics"
 	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagroster"
@@ -58,7 +59,8 @@
 	settings SiteSettings
 	objects  Objects
 	clock    wagclock.Clock
-	log      logrus.FieldLogger
+	log      *waglog.Log
+	metrics  *wagmetrics.Site
 	owner    *wagowner.Owner
 	sync     *wagsync.Sync
 	mesh     *wagmesh.Mesh
@@ -79,30 +81,35 @@
 // SiteOption sets a property of a Site.
 type SiteOption func(*Site)
 
-// WithSiteLog replaces the standard logger.
-func WithSiteLog(l logrus.FieldLogger) SiteOption { return func(s *Site) { s.log = l } }
+// WithSiteLog sets the log; without it nothing is logged.
+func WithSiteLog(l *waglog.Log) SiteOption { return func(s *Site) { s.log = l } }
+
+// WithSiteMetrics replaces the metrics.
+func WithSiteMetrics(m *wagmetrics.Site) SiteOption { return func(s *Site) { s.metrics = m } }
 
 // NewSite returns a host of a site that is not yet running.
 func NewSite(settings SiteSettings, store wagmirror.Store, objects Objects, protocol waggateway.Protocol, opts ...SiteOption) *Site {
 	s := &Site{
-		settings: settings, objects: objects, clock: wagclock.System{}, log: logrus.StandardLogger(),
+		settings: settings, objects: objects, clock: wagclock.System{}, log: waglog.Discard(), metrics: wagmetrics.NewSite(),
 		servers: make(map[string]wagserver.Instance), changed: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(s)
 	}
+	watch := observer{log: s.log, metrics: s.metrics}
 	s.upstream = wagupstream.NewPool(objects.IDHeader())
-	s.owner = wagowner.New(settings.DataCentre, &prober{site: s, protocol: protocol}, wagowner.WithClock(s.clock))
-	s.sync = wagsync.New(store, s.apply, objects.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log))
+	s.owner = wagowner.New(settings.DataCentre, &prober{site: s, protocol: protocol}, wagowner.WithClock(s.clock), wagowner.WithObserver(watch))
+	s.sync = wagsync.New(store, s.apply, objects.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()))
 	self := wagroster.Member{
 		Name: settings.Name, DataCentre: settings.DataCentre, Generation: uint64(s.clock.Now().UnixMilli()), Address: settings.Peers,
 		Processor: settings.Processor,
 	}
-	s.mesh = wagmesh.New(self, s.sync, s.owner, wagmesh.WithClock(s.clock), wagmesh.WithLog(s.log),
+	s.mesh = wagmesh.New(self, s.sync, s.owner, wagmesh.WithClock(s.clock), wagmesh.WithLog(s.log.Logger()),
 		wagmesh.WithSeeds(func() []netip.AddrPort { return *s.seeds.Load() }))
 	s.seeds.Store(&settings.Seeds)
 	s.owner.SetRemote(s.mesh.PlaceRemote)
-	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log))
+	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log.Logger()), waggateway.WithObserver(watch))
+	s.registerFigures()
 	return s
 }
 
@@ -111,12 +118,14 @@
 func (s *Site) Reload(settings SiteSettings) {
 	if !slices.Equal(*s.seeds.Load(), settings.Seeds) {
 		s.seeds.Store(&settings.Seeds)
-		s.log.WithField("seeds", settings.Seeds).Info("seeds reloaded")
+		s.log.Decide(waglog.KindHost, waglog.Fields{"event": "reload", "seeds": settings.Seeds})
 	}
 	old := s.settings
 	if old.Name != settings.Name || old.DataCentre != settings.DataCentre || old.Callers != settings.Callers ||
 		old.Readiness != settings.Readiness || old.Peers != settings.Peers {
-		s.restartOnce.Do(func() { s.log.Warning("changed names or addresses come into force with the next start") })
+		s.restartOnce.Do(func() {
+			s.log.Warn(waglog.KindHost, waglog.Fields{"event": "reload", "reason": "changed names or addresses come into force with the next start"})
+		})
 	}
 }
 
@@ -131,17 +140,18 @@
 			_, known := s.servers[r.Name]
 			delete(s.servers, r.Name)
 			serversChanged = serversChanged || known
+			s.log.Decide(waglog.KindServer, waglog.Fields{"server": r.Name, "event": "gone", "revision": r.Revision})
 			continue
 		}
 		decoded, err := s.objects.Decode(r, now)
 		if err != nil {
-			s.log.WithError(err).WithField("object", r.Kind+"/"+r.Name).Warning("an object of the store is not valid")
+			s.log.Warn(waglog.KindStore, waglog.Fields{"object": r.Kind + "/" + r.Name, "revision": r.Revision, "error": err.Error()})
 		}
 		switch x := decoded.(type) {
 		case *wagsite.Config:
 			s.putInForce(x)
 		case wagserver.Instance:
-			s.servers[r.Name] = x
+			s.noteServer(r, x)
 			serversChanged = true
 		}
 	}
@@ -161,7 +171,49 @@
 		names = append(names, service.Name)
 	}
 	s.mesh.SetServices(names)
-	s.log.WithField("version", uint64(c.Version)).Info("configuration in force")
+	s.metrics.Version.Set(float64(c.Version))
+	s.log.Decide(waglog.KindConfig, waglog.Fields{"event": "inForce", "version": uint64(c.Version), "copyAgeMs": ms(s.copyAge())})
+}
+
+// noteServer takes a server that registered or changed; s.mu is held.
+func (s *Site) noteServer(r wagmirror.Record, i wagserver.Instance) {
+	old, known := s.servers[r.Name]
+	s.servers[r.Name] = i
+	if known && old.State == i.State && old.Started.Equal(i.Started) {
+		return
+	}
+	s.log.Decide(waglog.KindServer, waglog.Fields{
+		"server": i.ID, "service": i.Service, "dataCentre": i.DataCentre, "event": string(i.State), "revision": r.Revision,
+	})
+}
+
+// copyAge returns the time since the store confirmed the copy of its objects.
+func (s *Site) copyAge() time.Duration {
+	at := s.sync.Confirmed()
+	if at.IsZero() {
+		return 0
+	}
+	return s.clock.Now().Sub(at)
+}
+
+// registerFigures adds the figures that are read when the metrics are.
+func (s *Site) registerFigures() {
+	s.metrics.Gauge("site_copy_age_seconds", "Time since the store confirmed the copy of its objects.", func() float64 { return s.copyAge().Seconds() })
+	s.metrics.Gauge("site_members", "Known hosts of the site.", func() float64 { return float64(len(s.mesh.Members())) })
+	s.metrics.Gauge("site_follows_store", "1 while this host follows the store for others.", func() float64 {
+		if s.sync.Following() {
+			return 1
+		}
+		return 0
+	})
+	s.metrics.Count("site_connections_total", "Connections opened to servers.", func() float64 { return float64(s.upstream.Stats().Dialed) })
+	s.metrics.Count("site_foreign_answers_total", "Answers of servers that belonged to other requests.", func() float64 { return float64(s.upstream.Stats().Foreign) })
+	s.metrics.Count("site_log_lines_dropped_total", "Log lines that were left out.", func() (sum float64) {
+		for _, n := range s.log.Dropped() {
+			sum += float64(n)
+		}
+		return sum
+	})
 }
 
 // updateServers passes the servers on; s.mu is held.
@@ -194,9 +246,14 @@
 		defer end()
 		return s.gateway.Run(ctx, listeners[0], waggateway.StopPlan{Grace: s.settings.Grace, Announce: s.mesh.Leave})
 	})
-	s.log.WithFields(logrus.Fields{"host": s.settings.Name, "dataCentre": s.settings.DataCentre}).Info("host started")
-	defer func() { s.log.WithField("host", s.settings.Name).Info("host stopped") }()
-	return g.Wait()
+	s.log.Decide(waglog.KindHost, waglog.Fields{"event": "start", "dataCentre": s.settings.DataCentre, "callers": s.settings.Callers, "peers": s.settings.Peers})
+	err = g.Wait()
+	f := waglog.Fields{"event": "stop"}
+	if err != nil {
+		f["error"] = err.Error()
+	}
+	s.log.Decide(waglog.KindHost, f)
+	return err
 }
 
 // passOn tells the mesh of changes. apply must not, because the mesh may be
@@ -221,6 +278,7 @@
 		}
 		return c.NoContent(http.StatusOK)
 	})
+	e.GET("/metrics", echo.WrapHandler(s.metrics.Handler()))
 	return e
 }
 
--- a/wagmesh/message.go
+++ b/wagmesh/message.go
@@ -21,14 +21,6 @@
 	return &Member{Name: m.Name, DataCentre: m.DataCentre, Generation: m.Generation, Address: m.Address.String(), Leaving: m.Leaving, Processor: uint32(max(m.Processor, 0))}
 }
 
-func memberMessages(list []wagroster.Member) []*Member {
-	messages := make([]*Member, 0, len(list))
-	for _, m := range list {
-		messages = append(messages, memberMessage(m))
-	}
-	return messages
-}
-
 // memberOf checks what a host says of a member.
 func memberOf(m *Member) (wagroster.Member, bool) {
 	address, err := netip.ParseAddrPort(m.GetAddress())
@@ -105,14 +97,14 @@
 func placeMessage(id uint64, now time.Time, service string, r wagplacement.Request) *Place {
 	return &Place{
 		Id: id, Service: service, Route: r.Route, Rank: uint32(max(r.Rank, 0)), GoalLeft: int32(r.Goal.Sub(now).Milliseconds()),
-		DeadlineLeft: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)), Avoid: r.Avoid, Repeat: r.Repeat, Foreign: r.Foreign,
+		DeadlineLeft: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)), Avoid: r.Avoid, Repeat: r.Repeat, Foreign: r.Foreign, Name: r.Name,
 	}
 }
 
 func requestOf(m *Place, now time.Time) wagplacement.Request {
 	return wagplacement.Request{
 		Route: m.GetRoute(), Rank: int(m.GetRank()), Goal: now.Add(milliseconds(int64(m.GetGoalLeft()))),
-		Deadline: now.Add(milliseconds(int64(m.GetDeadlineLeft()))), Avoid: m.GetAvoid(), Repeat: m.GetRepeat(), Foreign: m.GetForeign(),
+		Deadline: now.Add(milliseconds(int64(m.GetDeadlineLeft()))), Avoid: m.GetAvoid(), Repeat: m.GetRepeat(), Foreign: m.GetForeign(), Name: m.GetName(),
 	}
 }
 
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -48,9 +48,10 @@
 
 // Owner places requests on servers. It is safe for concurrent use.
 type Owner struct {
-	clock  wagclock.Clock
-	prober Prober
-	remote Remote
+	clock    wagclock.Clock
+	prober   Prober
+	remote   Remote
+	observer Observer
 	// dataCentre is the one whose servers the owner places requests on.
 	dataCentre string
 	// tasks runs the probes and the calls to other data centres.
@@ -66,8 +67,14 @@
 type group struct {
 	service string
 	core    *wagplacement.Core
-	// waiters holds who is told the outcome of each request that waits.
-	waiters map[wagplacement.RequestID]func(Outcome)
+	// waiters holds the requests that wait.
+	waiters map[wagplacement.RequestID]waiter
+}
+
+// waiter is a request that waits, and who is told its outcome.
+type waiter struct {
+	reply func(Outcome)
+	since time.Time
 }
 
 // Option sets a property of an Owner.
@@ -79,7 +86,7 @@
 // New returns an owner without servers.
 func New(dataCentre string, prober Prober, opts ...Option) *Owner {
 	o := &Owner{
-		dataCentre: dataCentre, prober: prober, remote: func(context.Context, string, string, wagplacement.Request) Outcome { return nil },
+		dataCentre: dataCentre, prober: prober, observer: discard{}, remote: func(context.Context, string, string, wagplacement.Request) Outcome { return nil },
 		clock: wagclock.System{}, groups: make(map[string]*group), wake: make(chan struct{}, 1),
 	}
 	for _, option := range opts {
@@ -128,7 +135,7 @@
 func (o *Owner) group(service string) *group {
 	g, ok := o.groups[service]
 	if !ok {
-		g = &group{service: service, core: wagplacement.New(), waiters: make(map[wagplacement.RequestID]func(Outcome))}
+		g = &group{service: service, core: wagplacement.New(), waiters: make(map[wagplacement.RequestID]waiter)}
 		o.groups[service] = g
 	}
 	return g
@@ -149,8 +156,9 @@
 	o.next++
 	r.ID = o.next
 	g := o.group(service)
-	g.waiters[r.ID] = reply
-	g.core.Submit(o.clock.Now(), r)
+	now := o.clock.Now()
+	g.waiters[r.ID] = waiter{reply: reply, since: now}
+	g.core.Submit(now, r)
 	o.carryOut(g)
 	return Ticket{owner: o, group: g, id: r.ID}
 }
@@ -197,9 +205,11 @@
 	for _, command := range g.core.Commands() {
 		switch x := command.(type) {
 		case wagplacement.Grant:
-			g.answer(x.Request, Granted{Server: x.Server, Finish: func(r wagplacement.Result) { o.finish(g, x.Request, r) }})
+			o.observer.Granted(g.service, o.waited(g, x.Request.ID), x)
+			g.answer(x.Request.ID, Granted{Server: x.Server, Finish: func(r wagplacement.Result) { o.finish(g, x.Request.ID, r) }})
 		case wagplacement.Refuse:
-			g.answer(x.Request, Refused{Reason: x.Reason, RetryAt: x.RetryAt})
+			o.observer.Refused(g.service, o.waited(g, x.Request.ID), x)
+			g.answer(x.Request.ID, Refused{Reason: x.Reason, RetryAt: x.RetryAt})
 		case wagplacement.Spill:
 			o.tasks.Go(func() error {
 				o.spill(g, x)
@@ -218,10 +228,19 @@
 	}
 }
 
+// waited returns how long a request has waited; o.mu is held.
+func (o *Owner) waited(g *group, id wagplacement.RequestID) time.Duration {
+	w, ok := g.waiters[id]
+	if !ok {
+		return 0
+	}
+	return o.clock.Now().Sub(w.since)
+}
+
 func (g *group) answer(id wagplacement.RequestID, x Outcome) {
-	if reply, ok := g.waiters[id]; ok {
+	if w, ok := g.waiters[id]; ok {
 		delete(g.waiters, id)
-		reply(x)
+		w.reply(x)
 	}
 }
 
@@ -236,6 +255,7 @@
 	now := o.clock.Now()
 	granted, ok := outcome.(Granted)
 	taken := ok && g.core.Taken(now, x.Request.ID)
+	o.observer.Spilled(g.service, x, taken)
 	switch {
 	case taken:
 		g.answer(x.Request.ID, granted)
@@ -260,6 +280,7 @@
 	r := o.prober.Probe(ctx, p.Server)
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.observer.Probed(p.Server, r)
 	g.core.Probed(o.clock.Now(), p.Server.ID, r)
 	o.carryOut(g)
 }
--- /dev/null
+++ b/wagowner/wagowner_test.go
@@ -0,0 +1,180 @@
+package wagowner
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagserver"
+)
+
+// prober answers probes after a time.
+type prober struct {
+	mu sync.Mutex
+	// after is how long an answer takes; servers that are not named answer at once.
+	after  map[string]time.Duration
+	probes int
+}
+
+// Probe reports an idle server.
+func (p *prober) Probe(ctx context.Context, server wagserver.Instance) wagplacement.Result {
+	p.mu.Lock()
+	after := p.after[server.ID]
+	p.probes++
+	p.mu.Unlock()
+	select {
+	case <-time.After(after):
+		return wagplacement.Result{HasReport: true, Report: wagplacement.Report{Slots: server.Slots, Slowness: 1}}
+	case <-ctx.Done():
+		return wagplacement.Result{Fault: wagplacement.FaultTimeout}
+	}
+}
+
+func servers(dataCentres map[string]int) (list []wagserver.Instance) {
+	for dataCentre, n := range dataCentres {
+		for i := range n {
+			list = append(list, wagserver.Instance{
+				ID: fmt.Sprint(dataCentre, i), Service: "lots", DataCentre: dataCentre, Slots: 6, State: wagserver.Live,
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, dataCentre[0], 0, byte(i)}), 80),
+			})
+		}
+	}
+	return list
+}
+
+// run runs f beside an owner in a bubble.
+func run(t *testing.T, p *prober, f func(is *is.I, o *Owner)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		o := New("a", p)
+		ctx, cancel := context.WithCancel(context.Background())
+		var g errgroup.Group
+		g.Go(func() error { return o.Run(ctx) })
+		defer func() {
+			cancel()
+			if err := g.Wait(); err != nil {
+				t.Error(err)
+			}
+		}()
+		f(is.New(t), o)
+	})
+}
+
+func request() wagplacement.Request {
+	now := time.Now()
+	return wagplacement.Request{Route: "status", Goal: now.Add(250 * time.Millisecond), Deadline: now.Add(time.Second)}
+}
+
+// Guards against a request that waits on although its server was probed, and against
+// a slot that is not given back.
+func TestPlaceAndFinish(t *testing.T) {
+	run(t, &prober{}, func(is *is.I, o *Owner) {
+		o.SetServers(servers(map[string]int{"a": 1}))
+		var granted []Granted
+		for range 4 {
+			x, ok := o.Place(context.Background(), "lots", request()).(Granted)
+			is.True(ok)
+			is.Equal(x.Server.ID, "a0")
+			granted = append(granted, x)
+		}
+		done := make(chan Outcome, 1)
+		var g errgroup.Group
+		g.Go(func() error {
+			done <- o.Place(context.Background(), "lots", request())
+			return nil
+		})
+		synctest.Wait()
+		is.Equal(len(done), 0)
+		granted[0].Finish(wagplacement.Result{})
+		_, ok := (<-done).(Granted)
+		is.True(ok)
+		is.NoErr(g.Wait())
+	})
+}
+
+// Guards against a server that does not answer probes and so keeps requests waiting.
+func TestSilentServer(t *testing.T) {
+	run(t, &prober{after: map[string]time.Duration{"a0": time.Hour, "a1": time.Hour}}, func(is *is.I, o *Owner) {
+		o.SetServers(servers(map[string]int{"a": 3}))
+		began := time.Now()
+		x, ok := o.Place(context.Background(), "lots", request()).(Granted)
+		is.True(ok)
+		is.Equal(x.Server.ID, "a2")
+		is.True(time.Since(began) < 20*time.Millisecond)
+	})
+}
+
+// Guards against a request that keeps its place, or a slot, after its caller left.
+func TestCallerLeaves(t *testing.T) {
+	run(t, &prober{after: map[string]time.Duration{"a0": 5 * time.Millisecond}}, func(is *is.I, o *Owner) {
+		o.SetServers(servers(map[string]int{"a": 1}))
+		for range 20 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			if x, ok := o.Place(ctx, "lots", request()).(Granted); ok {
+				x.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+			}
+			cancel()
+		}
+		x, ok := o.Place(context.Background(), "lots", request()).(Granted)
+		is.True(ok)
+		x.Finish(wagplacement.Result{})
+	})
+}
+
+// Guards against a refused request whose spill is granted twice, against a slot of
+// another data centre that is not given back, and against a request that is lost
+// when the other data centre does not answer.
+func TestSpill(t *testing.T) {
+	for _, name := range []string{"granted", "refused", "silent", "late"} {
+		t.Run(name, func(t *testing.T) {
+			run(t, &prober{}, func(is *is.I, o *Owner) {
+				finished := make(chan wagplacement.Result, 1)
+				o.SetRemote(func(ctx context.Context, dataCentre, service string, r wagplacement.Request) Outcome {
+					is.Equal(dataCentre, "b")
+					is.Equal(service, "lots")
+					is.True(r.Foreign)
+					switch name {
+					case "granted":
+						return Granted{Server: wagserver.Instance{ID: "b0"}, Finish: func(r wagplacement.Result) { finished <- r }}
+					case "refused":
+						return Refused{Reason: wagplacement.ReasonOverload, RetryAt: time.Now().Add(time.Second)}
+					case "late":
+						time.Sleep(2 * time.Second) //nolint:forbidigo // The time of a bubble passes at once.
+						return Granted{Server: wagserver.Instance{ID: "b0"}, Finish: func(r wagplacement.Result) { finished <- r }}
+					default:
+						return nil
+					}
+				})
+				o.SetServers(servers(map[string]int{"b": 1})) // none in the own data centre
+				x := o.Place(context.Background(), "lots", request())
+				granted, ok := x.(Granted)
+				is.Equal(ok, name == "granted")
+				if ok {
+					is.Equal(granted.Server.ID, "b0")
+					granted.Finish(wagplacement.Result{})
+				}
+				if name == "late" {
+					is.Equal((<-finished).Fault, wagplacement.FaultCanceled)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a service without servers whose requests wait for their deadline.
+func TestNoServer(t *testing.T) {
+	run(t, &prober{}, func(is *is.I, o *Owner) {
+		began := time.Now()
+		_, refused := o.Place(context.Background(), "none", request()).(Refused)
+		is.True(refused)
+		is.Equal(time.Since(began), time.Duration(0))
+	})
+}
--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -77,7 +77,8 @@
 		all += float64(limit)
 		free += float64(max(limit-s.occupied(now), 0))
 	}
-	return all * (1 - c.load.slow), free * (1 - c.load.slow)
+	c.allSlots = all * (1 - c.load.slow)
+	return c.allSlots, free * (1 - c.load.slow)
 }
 
 // noServer is the wait of a request while there is no server; no deadline is as
@@ -114,7 +115,7 @@
 		return true
 	}
 	if w.Foreign {
-		c.refuse(w.ID, ReasonOverload, now.Add(clampRetry(wait)))
+		c.refuse(&w.Request, ReasonOverload, now.Add(clampRetry(wait)), wait)
 		return false
 	}
 	if c.spill(now, w) {
@@ -127,7 +128,7 @@
 		}
 		wait = late
 	}
-	c.refuse(w.ID, ReasonOverload, now.Add(clampRetry(wait)))
+	c.refuse(&w.Request, ReasonOverload, now.Add(clampRetry(wait)), wait)
 	return false
 }
 
@@ -155,9 +156,6 @@
 	pausedUntil time.Time
 }
 
-// spillPause is how long a data centre is not asked again that did not answer.
-const spillPause = 300 * time.Millisecond
-
 // SetRemotes sets the other data centres that have servers of the service.
 func (c *Core) SetRemotes(dataCentres []string) {
 	known := make(map[string]time.Time)
--- a/wagplacement/choose.go
+++ b/wagplacement/choose.go
@@ -27,7 +27,7 @@
 	var kept []*waiter
 	for _, w := range c.waiting.list {
 		if !now.Before(w.last()) {
-			c.refuse(w.ID, ReasonOverload, now.Add(minRetry))
+			c.refuse(&w.Request, ReasonOverload, now.Add(minRetry), 0)
 			continue
 		}
 		if !w.late && w.isLate(now) {
@@ -70,7 +70,10 @@
 	s.since++
 	g.nearlyFull = nearlyFull(s.occupied(now), s.Slots)
 	c.granted[w.ID] = g
-	c.commands = append(c.commands, Grant{Request: w.ID, Server: s.Instance})
+	c.commands = append(c.commands, Grant{Request: w.Request, Server: s.Instance, Inputs: Inputs{
+		Running: s.occupied(now), Slowness: g.slowness, ReportAge: now.Sub(s.reportedAt), Waiting: len(c.waiting.list), Slots: c.allSlots,
+		Late: w.isLate(now),
+	}})
 }
 
 // choose returns the server on which a request is to start now, or nil.
--- a/wagplacement/core.go
+++ b/wagplacement/core.go
@@ -15,10 +15,13 @@
 	routes  map[string]*route
 	granted map[RequestID]*grant
 	waiting queue
-	budget  budget
-	load    load
-	knee    knee
-	remotes []remote
+	// allSlots is how many requests the group can run at once, as of the latest
+	// estimate.
+	allSlots float64
+	budget   budget
+	load     load
+	knee     knee
+	remotes  []remote
 	// turn moves the start of the search on, so that equal servers take turns.
 	turn     int
 	commands []Command
@@ -70,7 +73,7 @@
 	if !r.Repeat {
 		c.budget.first(now)
 	} else if !c.budget.take(now) {
-		c.refuse(r.ID, ReasonBudget, now)
+		c.refuse(&r, ReasonBudget, now, 0)
 		return
 	}
 	w := &waiter{Request: r, route: c.route(r.Route, r.Goal.Sub(now))}
@@ -107,6 +110,7 @@
 func (c *Core) release(g *grant) {
 	delete(c.granted, g.request.ID)
 	g.server.running--
+	g.server.since = max(g.server.since-1, 0)
 	if g.stuck {
 		g.server.stuck--
 	}
@@ -162,8 +166,11 @@
 	return list
 }
 
-func (c *Core) refuse(id RequestID, reason Reason, retryAt time.Time) {
-	c.commands = append(c.commands, Refuse{Request: id, Reason: reason, RetryAt: retryAt})
+// refuse ends a request that was expected to wait for a time.
+func (c *Core) refuse(r *Request, reason Reason, retryAt time.Time, expected time.Duration) {
+	c.commands = append(c.commands, Refuse{
+		Request: *r, Reason: reason, RetryAt: retryAt, Inputs: Inputs{Waiting: len(c.waiting.list), Slots: c.allSlots, Expected: expected},
+	})
 }
 
 // SetServers replaces the servers that may get work.
--- a/wagplacement/core_test.go
+++ b/wagplacement/core_test.go
@@ -80,9 +80,9 @@
 		for _, command := range commands {
 			switch x := command.(type) {
 			case Grant:
-				g.granted[x.Request] = x.Server.ID
+				g.granted[x.Request.ID] = x.Server.ID
 			case Refuse:
-				g.refused[x.Request] = x
+				g.refused[x.Request.ID] = x
 			case Spill:
 				g.spills = append(g.spills, x)
 			case Probe:
--- a/wagplacement/wagplacement.go
+++ b/wagplacement/wagplacement.go
@@ -16,7 +16,9 @@
 // Request is a request that needs a server.
 type Request struct {
 	// ID is unique among the requests that have not finished.
-	ID    RequestID
+	ID RequestID
+	// Name is the identity that the caller gave, for the log.
+	Name  string
 	Route string
 	// Rank orders requests by urgency; 0 comes first.
 	Rank int
@@ -38,16 +40,35 @@
 
 // Grant gives a request a slot of a server. Finished has to follow.
 type Grant struct {
-	Request RequestID
+	Request Request
 	Server  wagserver.Instance
+	Inputs  Inputs
 }
 
 // Refuse ends a request. It was not run by this grant or any later one.
 type Refuse struct {
-	Request RequestID
+	Request Request
 	Reason  Reason
 	// RetryAt is when room is expected.
 	RetryAt time.Time
+	Inputs  Inputs
+}
+
+// Inputs are what a decision was made on.
+type Inputs struct {
+	// Running counts the requests at the server, the new one included, and Slowness
+	// is its latest report, of ReportAge.
+	Running   int
+	Slowness  float64
+	ReportAge time.Duration
+	// Waiting counts the requests that wait in the group, and Slots how many can run
+	// at once.
+	Waiting int
+	Slots   float64
+	// Expected is how long the request was expected to wait.
+	Expected time.Duration
+	// Late tells that the goal of the request was out of reach.
+	Late bool
 }
 
 // Probe asks for a report of a server. Probed has to follow.
@@ -115,6 +136,28 @@
 	FaultCanceled
 )
 
+// String returns the name of a fault in logs and metrics.
+func (f Fault) String() string {
+	switch f {
+	case FaultNone:
+		return "none"
+	case FaultConnect:
+		return "connect"
+	case FaultRejected:
+		return "rejected"
+	case FaultGone:
+		return "gone"
+	case FaultError:
+		return "error"
+	case FaultBroken:
+		return "broken"
+	case FaultTimeout:
+		return "timeout"
+	default:
+		return "canceled"
+	}
+}
+
 // Result tells how the attempt of a request ended.
 type Result struct {
 	Fault Fault
--- a/wagupstream/conn.go
+++ b/wagupstream/conn.go
@@ -146,7 +146,7 @@
 func (c *conn) read(method string) (resp *Response, keep bool, err error) {
 	request := &http.Request{Method: method}
 	for {
-		h, err := http.ReadResponse(c.reader, request)
+		h, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // The body is read to its end, or becomes Rest.
 		if err != nil {
 			return nil, false, broken(err)
 		}
--- a/wagupstream/exchange.go
+++ b/wagupstream/exchange.go
@@ -127,7 +127,7 @@
 func (r *rest) Read(p []byte) (int, error) {
 	n, err := r.source.Read(p)
 	switch {
-	case err == io.EOF:
+	case errors.Is(err, io.EOF):
 		r.finish(true)
 	case err != nil:
 		r.finish(false)
