waggateway: Ask a second server when the first takes longer than usual

Failures of servers were final for requests that may be repeated. Change: the owner tells after how long a second server may be asked; it grants one only from spare slots and up to half of the retry budget. The other attempt is cancelled and counts as overtaken. A failure of a server is the answer only when no other server does better.

--- a/waggateway/fixture_test.go
+++ b/waggateway/fixture_test.go
@@ -172,6 +172,8 @@
 	results  []wagplacement.Result
 	// refuse is given when no server is left.
 	refuse wagowner.Refused
+	// hedgeAfter is told with each grant.
+	hedgeAfter time.Duration
 }
 
 func (p *placer) Place(_ context.Context, _ string, r wagplacement.Request) wagowner.Outcome {
@@ -183,13 +185,20 @@
 	}
 	b := p.servers[0]
 	p.servers = p.servers[1:]
-	return wagowner.Granted{Server: b.instance(), Finish: func(r wagplacement.Result) {
+	return wagowner.Granted{Server: b.instance(), HedgeAfter: p.hedgeAfter, Finish: func(r wagplacement.Result) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.results = append(p.results, r)
 	}}
 }
 
+// told returns the results that the placer was told.
+func (p *placer) told() []wagplacement.Result {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]wagplacement.Result(nil), p.results...)
+}
+
 // fixture is a gateway behind a real listener.
 type fixture struct {
 	gateway *Gateway
@@ -226,8 +235,10 @@
 			Parts: []wagsite.Part{{Service: "lots", Weight: 1}},
 		}
 	}
+	single := route("single", "/single/", true)
+	single.Attempts = 1
 	c, err := wagsite.New(version, wagsite.Limits{BodyBytes: 4 << 20}, []wagsite.Service{{Name: "lots"}},
-		[]wagsite.Route{route("status", "/status/", true), route("commit", "/commit/", false)})
+		[]wagsite.Route{route("status", "/status/", true), route("commit", "/commit/", false), single})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -62,6 +62,11 @@
 	server  string
 	waited  time.Duration
 	version wagsite.Version
+	// fallback is the failure that a server answered, while another one is tried; nil
+	// otherwise.
+	fallback *answer
+	// cancels ends the attempts that ran beside others.
+	cancels []context.CancelFunc
 }
 
 // answer is what the caller gets.
@@ -86,6 +91,7 @@
 		// The rest of a long answer arrives while it is passed on.
 		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 		defer cancel()
+		defer q.cancel()
 		a = q.run(ctx)
 	}
 	g.observer.RequestEnded(g.end(r, q, a, began))
@@ -108,6 +114,13 @@
 	return e
 }
 
+// cancel ends what still goes on for the request.
+func (q *request) cancel() {
+	for _, cancel := range q.cancels {
+		cancel()
+	}
+}
+
 // streamBody permits that a server answers before it has the whole body. It returns
 // a function that ends the reading of the rest.
 func streamBody(w http.ResponseWriter) func() {
@@ -174,138 +187,78 @@
 // run places and sends the request until there is an answer.
 func (q *request) run(ctx context.Context) answer {
 	for {
-		r := wagplacement.Request{
-			Route: q.route.Name, Rank: q.route.Rank, Goal: q.arrived.Add(q.route.Goal), Deadline: q.deadline,
-			Name: q.id, Avoid: q.avoid, Repeat: q.attempts > 0,
-		}
-		asked := q.gateway.clock.Now()
-		outcome := q.gateway.placer.Place(ctx, q.service, r)
-		q.waited += q.gateway.clock.Now().Sub(asked)
-		switch x := outcome.(type) {
-		case wagowner.Granted:
-			a, final := q.attempt(ctx, x)
-			if final {
-				return a
-			}
-		case wagowner.Refused:
+		x := q.place(ctx, false)
+		granted, ok := x.(wagowner.Granted)
+		if !ok {
 			return q.refused(x)
-		default:
-			return q.refused(wagowner.Refused{Reason: wagplacement.ReasonNoServer, RetryAt: q.gateway.clock.Now()})
+		}
+		a, final := q.conclude(ctx, q.race(ctx, granted))
+		if final {
+			return a
 		}
 	}
 }
 
-// refused answers a request that no server is to run.
-func (q *request) refused(x wagowner.Refused) answer {
-	if q.mayHaveRun {
-		return answer{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: string(x.Reason)}
-	}
-	return answer{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: string(x.Reason), retryAt: x.RetryAt}
-}
-
-// attempt sends the request to one server. final is false when another attempt
-// may follow.
-func (q *request) attempt(ctx context.Context, granted wagowner.Granted) (a answer, final bool) {
-	g := q.gateway
-	start := g.clock.Now()
-	q.attempts++
-	q.tries++
-	q.server = granted.Server.ID
-	left := q.deadline.Sub(start)
-	server := wagupstream.Server{Address: granted.Server.Address, ID: granted.Server.ID}
-	resp, reused, err := g.upstream.Exchange(ctx, server, q.outgoing(granted.Server.ID, left), start.Add(dialTime))
-	result, reason := q.judge(ctx, resp, err)
-	result.Took = g.clock.Now().Sub(start)
-	granted.Finish(result)
-	e := AttemptEnd{
-		Request: q.id, Service: q.service, Server: granted.Server.ID, Number: q.attempts, Fault: result.Fault, Reason: reason,
-		Reused: reused, Took: result.Took, Left: left,
-	}
-	if resp != nil {
-		e.Status = resp.Status
-	}
-	g.observer.AttemptEnded(e)
-	if result.Fault == wagplacement.FaultNone || result.Fault == wagplacement.FaultError {
-		return answer{status: resp.Status, outcome: OutcomeAnswered, response: resp}, true
-	}
-	if resp != nil && resp.Rest != nil {
-		_ = resp.Rest.Close() // always nil
+// place asks for a server, or for a second one beside the first.
+func (q *request) place(ctx context.Context, hedge bool) wagowner.Outcome {
+	asked := q.gateway.clock.Now()
+	x := q.gateway.placer.Place(ctx, q.service, wagplacement.Request{
+		Route: q.route.Name, Rank: q.route.Rank, Goal: q.arrived.Add(q.route.Goal), Deadline: q.deadline,
+		Name: q.id, Avoid: q.avoid, Repeat: q.attempts > 0, Hedge: hedge,
+	})
+	if !hedge {
+		q.waited += q.gateway.clock.Now().Sub(asked)
 	}
-	return q.failed(ctx, result.Fault, reason)
+	return x
 }
 
-// judge tells what an exchange says of the server, and why an answer is not passed
-// on.
-func (q *request) judge(ctx context.Context, resp *wagupstream.Response, err error) (r wagplacement.Result, reason string) {
-	if err != nil {
-		r.Fault = q.fault(ctx, err)
-		return r, err.Error()
+// refused answers a request that no further server is to run.
+func (q *request) refused(x wagowner.Outcome) answer {
+	refused, ok := x.(wagowner.Refused)
+	if !ok {
+		refused = wagowner.Refused{Reason: wagplacement.ReasonNoServer, RetryAt: q.gateway.clock.Now().Add(rejectRetry)}
 	}
-	p := q.gateway.protocol
-	r.Report, r.HasReport = p.Report(resp.Header)
 	switch {
-	case p.Misdirected(resp.Status):
-		r.Fault = wagplacement.FaultGone
-		return r, "otherServer"
-	case p.NotRun(resp.Status, resp.Header):
-		r.Fault = wagplacement.FaultRejected
-		return r, "rejected"
-	case resp.Status < http.StatusMultipleChoices && !p.Signed(resp.Header):
-		r.Fault = wagplacement.FaultBroken
-		return r, "notSigned"
-	case resp.Status >= http.StatusInternalServerError:
-		r.Fault = wagplacement.FaultError
-	}
-	return r, ""
-}
-
-// fault tells how an exchange failed.
-func (q *request) fault(ctx context.Context, err error) wagplacement.Fault {
-	switch {
-	case q.in.Context().Err() != nil:
-		return wagplacement.FaultCanceled
-	case ctx.Err() != nil:
-		return wagplacement.FaultTimeout
-	case errors.Is(err, wagupstream.ErrNotSent):
-		return wagplacement.FaultConnect
+	case q.fallback != nil:
+		return *q.fallback
+	case q.mayHaveRun:
+		return answer{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: string(refused.Reason)}
 	default:
-		return wagplacement.FaultBroken
+		return answer{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: string(refused.Reason), retryAt: refused.RetryAt}
 	}
 }
 
-// failed decides what follows a failed attempt.
-func (q *request) failed(ctx context.Context, fault wagplacement.Fault, reason string) (answer, bool) {
-	switch fault {
-	case wagplacement.FaultConnect:
-		q.attempts--
-	case wagplacement.FaultRejected, wagplacement.FaultGone:
-	default:
+// conclude decides what follows an attempt: its answer, or another attempt.
+func (q *request) conclude(ctx context.Context, t *attempt) (a answer, final bool) {
+	if t.mayHaveRun() {
 		q.mayHaveRun = true
 	}
-	q.avoid = append(q.avoid, q.server)
-	if q.mayRepeat(ctx) {
+	q.avoid = append(q.avoid, t.granted.Server.ID)
+	switch {
+	case t.result.Fault == wagplacement.FaultNone:
+		return t.answer(), true
+	case t.result.Fault == wagplacement.FaultError:
+		if q.fallback != nil || !q.mayRepeat(ctx) {
+			return t.answer(), true
+		}
+		// The failure of the server is the answer unless another one does better.
+		failure := t.answer()
+		q.fallback = &failure
 		return answer{}, false
+	case q.mayRepeat(ctx):
+		return answer{}, false
+	case q.fallback != nil:
+		return *q.fallback, true
+	case !q.mayHaveRun:
+		return answer{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: t.reason, retryAt: q.gateway.clock.Now().Add(rejectRetry)}, true
+	case t.result.Fault == wagplacement.FaultTimeout:
+		return answer{status: http.StatusGatewayTimeout, outcome: OutcomeFailed, reason: t.reason}, true
+	default:
+		return answer{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: t.reason}, true
 	}
-	if !q.mayHaveRun {
-		return answer{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: reason, retryAt: q.gateway.clock.Now().Add(rejectRetry)}, true
-	}
-	if fault == wagplacement.FaultTimeout {
-		return answer{status: http.StatusGatewayTimeout, outcome: OutcomeFailed, reason: reason}, true
-	}
-	return answer{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: reason}, true
 }
 
 // mayRepeat tells whether the request may be sent to another server.
 func (q *request) mayRepeat(ctx context.Context) bool {
 	return ctx.Err() == nil && q.attempts < q.route.Attempts && q.tries < maxTries && (q.route.Idempotent || !q.mayHaveRun) && q.rest == nil
 }
-
-// outgoing builds the request that a server gets.
-func (q *request) outgoing(serverID string, left time.Duration) *wagupstream.Request {
-	h := make(http.Header, len(q.in.Header)+2)
-	copyEndToEnd(h, q.in.Header)
-	h.Del("Expect")
-	h.Del("Content-Length")
-	q.gateway.protocol.Prepare(h, left, serverID)
-	return &wagupstream.Request{Method: q.in.Method, Target: q.in.RequestURI, Host: q.in.Host, Header: h, Body: q.body, Rest: q.rest, Length: q.length, ID: q.id}
-}
--- a/wagmesh/message.go
+++ b/wagmesh/message.go
@@ -97,14 +97,14 @@
 func placeMessage(id uint64, now time.Time, service string, r wagplacement.Request) *Place {
 	return &Place{
 		Id: id, Service: service, Route: r.Route, Rank: uint32(max(r.Rank, 0)), GoalLeft: int32(r.Goal.Sub(now).Milliseconds()),
-		DeadlineLeft: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)), Avoid: r.Avoid, Repeat: r.Repeat, Foreign: r.Foreign, Name: r.Name,
+		DeadlineLeft: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)), Avoid: r.Avoid, Repeat: r.Repeat, Foreign: r.Foreign, Name: r.Name, Hedge: r.Hedge,
 	}
 }
 
 func requestOf(m *Place, now time.Time) wagplacement.Request {
 	return wagplacement.Request{
 		Route: m.GetRoute(), Rank: int(m.GetRank()), Goal: now.Add(milliseconds(int64(m.GetGoalLeft()))),
-		Deadline: now.Add(milliseconds(int64(m.GetDeadlineLeft()))), Avoid: m.GetAvoid(), Repeat: m.GetRepeat(), Foreign: m.GetForeign(), Name: m.GetName(),
+		Deadline: now.Add(milliseconds(int64(m.GetDeadlineLeft()))), Avoid: m.GetAvoid(), Repeat: m.GetRepeat(), Foreign: m.GetForeign(), Name: m.GetName(), Hedge: m.GetHedge(),
 	}
 }
 
@@ -113,7 +113,7 @@
 func placedMessage(id uint64, now time.Time, x wagowner.Outcome) *Placed {
 	switch x := x.(type) {
 	case wagowner.Granted:
-		return &Placed{Id: id, Status: Placed_GRANTED, Server: x.Server.ID, Address: x.Server.Address.String()}
+		return &Placed{Id: id, Status: Placed_GRANTED, Server: x.Server.ID, Address: x.Server.Address.String(), HedgeAfter: uint32(max(x.HedgeAfter.Milliseconds(), 0))}
 	case wagowner.Refused:
 		return &Placed{Id: id, Status: Placed_REFUSED, Reason: string(x.Reason), RetryAfter: uint32(max(x.RetryAt.Sub(now).Milliseconds(), 0))}
 	default:
--- a/wagmesh/place.go
+++ b/wagmesh/place.go
@@ -174,7 +174,7 @@
 			return
 		}
 		id := p.GetId()
-		a.outcome <- wagowner.Granted{Server: server, Finish: func(r wagplacement.Result) {
+		a.outcome <- wagowner.Granted{Server: server, HedgeAfter: milliseconds(int64(p.GetHedgeAfter())), Finish: func(r wagplacement.Result) {
 			l.send(func(f *Frame) { f.Finishes = append(f.Finishes, finishMessage(id, r)) })
 		}}
 	default:
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -22,7 +22,10 @@
 // Granted gives a slot of a server. Finish is called once.
 type Granted struct {
 	Server wagserver.Instance
-	Finish func(wagplacement.Result)
+	// HedgeAfter is after how long without an answer a second server may be asked for
+	// a request that may run twice; 0 for never.
+	HedgeAfter time.Duration
+	Finish     func(wagplacement.Result)
 }
 
 // Refused tells that the request is not to run now.
@@ -206,7 +209,7 @@
 		switch x := command.(type) {
 		case wagplacement.Grant:
 			o.observer.Granted(g.service, o.waited(g, x.Request.ID), x)
-			g.answer(x.Request.ID, Granted{Server: x.Server, Finish: func(r wagplacement.Result) { o.finish(g, x.Request.ID, r) }})
+			g.answer(x.Request.ID, Granted{Server: x.Server, HedgeAfter: x.HedgeAfter, Finish: func(r wagplacement.Result) { o.finish(g, x.Request.ID, r) }})
 		case wagplacement.Refuse:
 			o.observer.Refused(g.service, o.waited(g, x.Request.ID), x)
 			g.answer(x.Request.ID, Refused{Reason: x.Reason, RetryAt: x.RetryAt})
--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -109,6 +109,9 @@
 // admit decides whether a request that just came, or that has become late, waits.
 // It returns false when the request was refused.
 func (c *Core) admit(now time.Time, w *waiter) bool {
+	if w.Hedge {
+		return c.admitHedge(now, w)
+	}
 	ahead := c.waiting.ahead(now, w)
 	wait := c.wait(now, w, ahead)
 	if !now.Add(wait).After(w.latest()) {
--- a/wagplacement/budget.go
+++ b/wagplacement/budget.go
@@ -10,6 +10,9 @@
 	// budgetPart is the part of the budget that is used, because other hosts may
 	// repeat requests while they cannot reach the owner.
 	budgetPart = 0.8
+	// hedgePart is the part up to which requests are hedged, so that some is left for
+	// those that failed.
+	hedgePart = 0.5
 	// budgetSteps divides the window.
 	budgetSteps = 20
 )
@@ -48,14 +51,18 @@
 }
 
 // take counts a repeat if the budget permits it.
-func (b *budget) take(now time.Time) bool {
+func (b *budget) take(now time.Time, hedge bool) bool {
 	b.advance(now)
 	firsts, repeats := 0, 0
 	for _, s := range b.steps {
 		firsts += s.firsts
 		repeats += s.repeats
 	}
-	if float64(repeats+1) > budgetPart*(b.ratio*float64(firsts)+b.slack) {
+	part := budgetPart
+	if hedge {
+		part = hedgePart
+	}
+	if float64(repeats+1) > part*(b.ratio*float64(firsts)+b.slack) {
 		return false
 	}
 	b.steps[budgetSteps-1].repeats++
--- a/wagplacement/core.go
+++ b/wagplacement/core.go
@@ -72,7 +72,7 @@
 func (c *Core) Submit(now time.Time, r Request) {
 	if !r.Repeat {
 		c.budget.first(now)
-	} else if !c.budget.take(now) {
+	} else if !c.budget.take(now, r.Hedge) {
 		c.refuse(&r, ReasonBudget, now, 0)
 		return
 	}
--- a/wagplacement/core_test.go
+++ b/wagplacement/core_test.go
@@ -405,3 +405,47 @@
 	id = g.submit(nil)
 	is.Equal(g.granted[id], "s0")
 }
+
+// Guards against second attempts that take slots which waiting requests need, and
+// against ones that use up the retry budget of requests that failed.
+func TestHedgesTakeOnlySpareSlots(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, 6, WithBudget(0, 10, 10*time.Second))
+	hedge := func(r *Request) { r.Repeat, r.Hedge = true, true }
+	id := g.submit(hedge)
+	is.True(g.granted[id] != "")
+	for range 6 {
+		g.submit(nil)
+	}
+	id = g.submit(hedge) // 1 of 8 slots is free
+	_, refused := g.refused[id]
+	is.True(refused)
+
+	g = newGroup(4, 6, WithBudget(0, 10, 10*time.Second))
+	granted := 0
+	for range 10 {
+		if id := g.submit(hedge); g.granted[id] != "" {
+			granted++
+		}
+	}
+	is.Equal(granted, 5)
+	id = g.submit(func(r *Request) { r.Repeat = true })
+	is.True(g.granted[id] != "")
+}
+
+// Guards against a second server that is asked before the first could have answered,
+// or when its answer would come after the goal.
+func TestHedgeAfter(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	r := &route{work: testWork, seen: 1000}
+	after := func(goal time.Duration) time.Duration {
+		w := &waiter{Request: Request{Goal: start.Add(goal)}, route: r}
+		return c.hedgeAfter(start, w, &grant{route: r, slowness: 1})
+	}
+	is.Equal(after(time.Second), 130*time.Millisecond)
+	is.Equal(after(200*time.Millisecond), 109*time.Millisecond)
+	is.Equal(after(150*time.Millisecond), 325*time.Millisecond) // too late for the goal
+	r.seen = 1
+	is.Equal(after(time.Second), time.Duration(0))
+}
--- a/wagplacement/servers.go
+++ b/wagplacement/servers.go
@@ -127,11 +127,13 @@
 	switch r.Fault {
 	case FaultNone:
 		s.failures = 0
+		s.keepPace(min(float64(r.Took)/max(float64(g.usual(1)), 1), maxPace))
+	case FaultOvertaken:
+		// The request would have taken at least as long.
 		ratio := min(float64(r.Took)/max(float64(g.usual(1)), 1), maxPace)
-		if s.pace == 0 {
-			s.pace = 1
+		if ratio > s.pace {
+			s.keepPace(ratio)
 		}
-		s.pace += paceWeight * (ratio - s.pace)
 	case FaultCanceled:
 	case FaultRejected:
 		s.rejectedUntil = now.Add(rejectPause)
@@ -140,6 +142,14 @@
 	}
 }
 
+// keepPace adds the time of a request, as a multiple of what was expected.
+func (s *server) keepPace(ratio float64) {
+	if s.pace == 0 {
+		s.pace = 1
+	}
+	s.pace += paceWeight * (ratio - s.pace)
+}
+
 // probed takes the answer to a probe.
 func (s *server) probed(now time.Time, r Result) {
 	if r.HasReport {
--- a/wagplacement/wagplacement.go
+++ b/wagplacement/wagplacement.go
@@ -33,6 +33,9 @@
 	// Foreign tells that the request comes from another data centre, so that it is
 	// to start at once or not at all.
 	Foreign bool
+	// Hedge tells that the request runs at a server already, so that it gets a second
+	// one only if that takes nothing from others.
+	Hedge bool
 }
 
 // Command is what a Core asks for: Grant, Refuse, Probe or Spill.
@@ -42,7 +45,10 @@
 type Grant struct {
 	Request Request
 	Server  wagserver.Instance
-	Inputs  Inputs
+	// HedgeAfter is after how long without an answer a second server may be asked; 0
+	// for never.
+	HedgeAfter time.Duration
+	Inputs     Inputs
 }
 
 // Refuse ends a request. It was not run by this grant or any later one.
@@ -131,6 +137,8 @@
 	FaultBroken
 	// FaultTimeout tells that no answer came in time.
 	FaultTimeout
+	// FaultOvertaken tells that a second server answered first.
+	FaultOvertaken
 	// FaultCanceled tells that the attempt was given up for reasons that say
 	// nothing about the server.
 	FaultCanceled
@@ -153,6 +161,8 @@
 		return "broken"
 	case FaultTimeout:
 		return "timeout"
+	case FaultOvertaken:
+		return "overtaken"
 	default:
 		return "canceled"
 	}
