--- a/waghost/site.go
+++ b/waghost/site.go
@@ -226,8 +226,11 @@
 func (s *Site) Run(ctx context.Context) (err error) {
 	defer func() { err = errors.WithMessagef(err, "host %s", s.settings.Name) }()
 	var listeners [3]net.Listener
+	// The idle time-out ends connections of callers that are gone; keep-alive probes
+	// need four system calls for each connection.
+	listen := net.ListenConfig{KeepAlive: -1}
 	for i, address := range []netip.AddrPort{s.settings.Callers, s.settings.Readiness, s.settings.Peers} {
-		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+		l, err := listen.Listen(ctx, "tcp", address.String())
 		if err != nil {
 			return err
 		}
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -30,8 +30,8 @@
 	tickTime = 100 * time.Millisecond
 	// nearBeat and farBeat are the times between two beats within a data centre
 	// and between two of them, where bytes are dear.
-	nearBeat = 250 * time.Millisecond
-	farBeat  = 350 * time.Millisecond
+	nearBeat = 400 * time.Millisecond
+	farBeat  = 400 * time.Millisecond
 	// silentTime is after how long without a frame a link is given up. Another host
 	// has to follow the store in time for a change to be in force within 2 s.
 	silentTime = 1200 * time.Millisecond
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -63,8 +63,10 @@
 	mu     sync.Mutex
 	groups map[string]*group
 	next   wagplacement.RequestID
-	// wake is signalled when a core has to be called earlier than planned.
-	wake chan struct{}
+	// wake is signalled when a core has to be called earlier than planned, which is
+	// zero when no call is.
+	wake    chan struct{}
+	planned time.Time
 }
 
 type group struct {
@@ -225,6 +227,11 @@
 			})
 		}
 	}
+	at := g.core.NextWake()
+	if at.IsZero() || !o.planned.IsZero() && !at.Before(o.planned) {
+		return
+	}
+	o.planned = at
 	select {
 	case o.wake <- struct{}{}:
 	default:
@@ -337,5 +344,6 @@
 			next = at
 		}
 	}
+	o.planned = next
 	return next
 }
--- a/wagowner/wagowner_test.go
+++ b/wagowner/wagowner_test.go
@@ -137,7 +137,7 @@
 		t.Run(name, func(t *testing.T) {
 			run(t, &prober{}, func(is *is.I, o *Owner) {
 				finished := make(chan wagplacement.Result, 1)
-				o.SetRemote(func(ctx context.Context, dataCentre, service string, r wagplacement.Request) Outcome {
+				o.SetRemote(func(_ context.Context, dataCentre, service string, r wagplacement.Request) Outcome {
 					is.Equal(dataCentre, "b")
 					is.Equal(service, "lots")
 					is.True(r.Foreign)
--- a/wagupstream/pool.go
+++ b/wagupstream/pool.go
@@ -16,6 +16,9 @@
 	maxIdle = 6 * time.Second
 	// idlePart is the part of a server's own idle timeout that is used.
 	idlePart = 0.6
+	// noKeepAlive turns keep-alive probes off, which need four system calls for each
+	// connection: requests have deadlines, and idle connections are closed soon.
+	noKeepAlive = -1
 	// maxKept bounds the idle connections to one server.
 	maxKept = 16
 )
@@ -52,7 +55,7 @@
 // NewPool returns a pool without connections. idHeader is the header in which
 // servers echo the ID of a request.
 func NewPool(idHeader string, opts ...Option) *Pool {
-	p := &Pool{dialer: &net.Dialer{}, idHeader: idHeader, now: time.Now, idle: make(map[Server][]*conn)}
+	p := &Pool{dialer: &net.Dialer{KeepAlive: noKeepAlive}, idHeader: idHeader, now: time.Now, idle: make(map[Server][]*conn)}
 	for _, o := range opts {
 		o(p)
 	}
