platform, wagsite, waghost: Read configurations and lists one entry at a time

One entry nested 20,000 deep made encoding/json reject a whole list or watch response, on every host and at every attempt. An entry that another writer made invalid left the former server in use.

An invalid route becomes unusable and refuses its requests, so that they do not match a shorter prefix; the other routes, services and limits hold. Each fault is logged once and counted, and document platform prints warnings.

--- a/commands/platform.go
+++ b/commands/platform.go
@@ -65,6 +65,11 @@
 	if err != nil {
 		return err
 	}
+	for _, warning := range c.Warnings {
+		if _, err := fmt.Fprintf(w, "warning\t%s\n", warning); err != nil {
+			return err
+		}
+	}
 	for _, s := range c.Services() {
 		if _, err := fmt.Fprintf(w, "service\t%s\thealth %s\tconnections %d\n", s.Name, s.HealthPath, s.Connections); err != nil {
 			return err
@@ -75,6 +80,9 @@
 		if r.Idempotent {
 			kind = "idempotent"
 		}
+		if r.Unusable != "" {
+			kind = "unusable"
+		}
 		var parts []string
 		for _, p := range r.TrafficSplit {
 			parts = append(parts, fmt.Sprintf("%s:%d", p.Service, p.Weight))
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -29,6 +29,9 @@
 	// rejectedRetryDelay is the Retry-After of a refusal after servers rejected the
 	// request as full.
 	rejectedRetryDelay = 30 * time.Millisecond
+	// unusableRetryDelay is the Retry-After of a refusal because the configuration of the
+	// route is invalid. The next version may be valid.
+	unusableRetryDelay = 2 * time.Second
 	// timeoutMargin is how long before the caller's deadline a request ends, so that
 	// the response still arrives in time.
 	timeoutMargin = 5 * time.Millisecond
@@ -150,6 +153,9 @@
 	if route == nil {
 		return nil, response{status: http.StatusNotFound, outcome: OutcomeRejected, reason: "noRoute"}
 	}
+	if route.Unusable != "" {
+		return nil, response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: "unusableRoute", retryAt: now.Add(unusableRetryDelay)}
+	}
 	q := &request{
 		gateway: g, incoming: r, route: route, service: route.SelectService(g.nextNumber(route.Name)),
 		id: g.protocol.RequestID(r.Header), configVersion: config.Version, arrived: now, deadline: now.Add(route.Timeout),
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -78,6 +78,9 @@
 	mu sync.Mutex
 	// servers holds the registered servers by the names of their objects.
 	servers map[string]wagserver.Instance
+	// loggedFaults holds what was logged of invalid objects and of configurations that
+	// are used in part, so that it is logged once. It is emptied at maxLoggedFaults.
+	loggedFaults map[string]bool
 	// pushPending is signalled when the mesh has changes to push to the peers.
 	pushPending chan struct{}
 }
@@ -97,7 +100,7 @@
 func NewSiteHost(settings SiteSettings, store wagmirror.Store, decoder ObjectDecoder, protocol waggateway.Protocol, opts ...SiteOption) *SiteHost {
 	s := &SiteHost{
 		settings: settings, decoder: decoder, clock: wagclock.System{}, log: waglog.Discard(), metrics: wagmetrics.NewSiteMetrics(),
-		servers: make(map[string]wagserver.Instance), pushPending: make(chan struct{}, 1),
+		servers: make(map[string]wagserver.Instance), loggedFaults: make(map[string]bool), pushPending: make(chan struct{}, 1),
 	}
 	for _, o := range opts {
 		o(s)
@@ -152,7 +155,8 @@
 		}
 		decoded, err := s.decoder.Decode(r, now)
 		if err != nil {
-			s.log.Warn(waglog.KindStore, waglog.Fields{"object": r.Kind + "/" + r.Name, "revision": r.Revision, "error": err.Error()})
+			serversChanged = s.dropInvalid(r, err) || serversChanged
+			continue
 		}
 		switch object := decoded.(type) {
 		case *wagsite.Config:
@@ -171,8 +175,39 @@
 	}
 }
 
-// applyConfig puts a configuration in force.
+// dropInvalid counts an object that cannot be decoded. An entry of a server names no
+// server any more then, and a configuration leaves the former one in force. It reports
+// whether a server was removed. s.mu must be held.
+func (s *SiteHost) dropInvalid(r wagmirror.Record, cause error) (removed bool) {
+	s.metrics.InvalidObjects.WithLabelValues(r.Kind).Inc()
+	object := r.Kind + "/" + r.Name
+	s.logFault(waglog.KindStore, object+": "+cause.Error(), waglog.Fields{"event": "invalid", "object": object, "revision": r.Revision, "error": cause.Error()})
+	_, removed = s.servers[r.Name]
+	delete(s.servers, r.Name)
+	return removed
+}
+
+// maxLoggedFaults bounds the faults that are remembered as logged.
+const maxLoggedFaults = 1024
+
+// logFault logs a warning unless the same fault was logged before. s.mu must be held.
+func (s *SiteHost) logFault(kind waglog.Kind, fault string, fields waglog.Fields) {
+	if s.loggedFaults[fault] {
+		return
+	}
+	if len(s.loggedFaults) >= maxLoggedFaults {
+		clear(s.loggedFaults)
+	}
+	s.loggedFaults[fault] = true
+	s.log.Warn(kind, fields)
+}
+
+// applyConfig puts a configuration in force. s.mu must be held.
 func (s *SiteHost) applyConfig(c *wagsite.Config) {
+	s.metrics.ConfigWarnings.Set(float64(len(c.Warnings)))
+	for _, warning := range c.Warnings {
+		s.logFault(waglog.KindConfig, warning, waglog.Fields{"event": "usedInPart", "version": uint64(c.Version), "reason": warning})
+	}
 	s.gateway.SetConfig(c)
 	var names []string
 	for _, service := range c.Services() {
--- /dev/null
+++ b/waghost/site_test.go
@@ -0,0 +1,64 @@
+package waghost
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/wagtailspar/wagtailspar/wagmirror"
+	"github.com/wagtailspar/wagtailspar/wagserver"
+	"github.com/wagtailspar/wagtailspar/wagsite"
+	"github.com/wagtailspar/wagtailspar/wagstore"
+)
+
+// fakeDecoder decodes objects whose body is the address of a server. All others are
+// invalid.
+type fakeDecoder struct{ ObjectDecoder }
+
+func (fakeDecoder) Kinds() []string         { return []string{"config", "servers"} }
+func (fakeDecoder) RequestIDHeader() string { return "Request-Id" }
+
+func (fakeDecoder) Decode(r wagmirror.Record, _ time.Time) (any, error) {
+	if r.Kind == "config" {
+		return wagsite.NewPartial(1, wagsite.Limits{}, nil, []wagsite.Route{{Name: "r1"}}), nil
+	}
+	address, err := netip.ParseAddrPort(string(r.Body))
+	if err != nil {
+		return nil, errors.New("the entry is invalid")
+	}
+	return wagserver.Instance{ID: r.Name, Service: "lots", DataCentre: "a", Address: address, Slots: 6, State: wagserver.Live}, nil
+}
+
+type noStore struct{}
+
+func (noStore) List(context.Context, string) (wagmirror.Update, error) {
+	return wagmirror.Update{}, wagstore.ErrUnavailable
+}
+
+func (noStore) Watch(context.Context, string, wagmirror.Revision, time.Time) (wagmirror.Update, error) {
+	return wagmirror.Update{}, wagstore.ErrUnavailable
+}
+
+func (noStore) Ping(context.Context) error { return wagstore.ErrUnavailable }
+
+// Guards against requests that are sent to a server whose entry another writer has made
+// invalid, and against one invalid entry that hides the others.
+func TestInvalidEntries(t *testing.T) {
+	is := is.New(t)
+	s := NewSiteHost(SiteSettings{Name: "edge-1", DataCentre: "a"}, noStore{}, fakeDecoder{}, nil)
+	entry := func(name, body string, revision wagmirror.Revision) wagmirror.Record {
+		return wagmirror.Record{Kind: "servers", Name: name, Revision: revision, Body: []byte(body)}
+	}
+	s.applyRecords([]wagmirror.Record{{Kind: "config", Name: "main", Revision: 1}, entry("odd", "{{{", 2), entry("s1", "10.0.0.1:80", 3), entry("s2", "10.0.0.2:80", 4)})
+	is.Equal(len(s.servers), 2)
+	s.applyRecords([]wagmirror.Record{entry("s1", "10.0.0.1:99999", 5)})
+	is.Equal(len(s.servers), 1)
+	is.Equal(s.servers["s2"].Address.Port(), uint16(80))
+	s.applyRecords([]wagmirror.Record{entry("s1", "10.0.0.1:80", 6)})
+	is.Equal(len(s.servers), 2)
+	is.Equal(len(s.loggedFaults), 3) // two entries and one route
+}
--- a/wagmetrics/site.go
+++ b/wagmetrics/site.go
@@ -41,8 +41,12 @@
 	ReportAge *prometheus.HistogramVec
 	// StoreCalls counts the calls to the platform's store.
 	StoreCalls *prometheus.CounterVec
-	// ConfigVersion is the version of the configuration in force.
-	ConfigVersion prometheus.Gauge
+	// InvalidObjects counts the objects of the platform's store that could not be decoded.
+	InvalidObjects *prometheus.CounterVec
+	// ConfigVersion is the version of the configuration in force, and ConfigWarnings the
+	// number of its parts that are not used as written.
+	ConfigVersion  prometheus.Gauge
+	ConfigWarnings prometheus.Gauge
 }
 
 // NewSiteMetrics returns metrics with a registry of their own.
@@ -60,9 +64,11 @@
 		Probes:          counter("site_probes_total", "Reports asked of servers.", "service", "fault"),
 		ReportAge:       histogram("site_report_age_seconds", "Age of the report on which a server was granted.", reportAgeBuckets, "service"),
 		StoreCalls:      counter("site_store_calls_total", "Calls to the platform's store.", "kind", "outcome"),
+		InvalidObjects:  counter("site_invalid_objects_total", "Objects of the platform's store that could not be decoded.", "kind"),
 		ConfigVersion:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "site_config_version", Help: "Version of the configuration in force."}),
+		ConfigWarnings:  prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "site_config_warnings", Help: "Parts of the configuration in force that are not used as written."}),
 	}
-	s.registry.MustRegister(s.Requests, s.RequestDuration, s.WaitDuration, s.Attempts, s.Repeats, s.Grants, s.Refusals, s.Spills, s.Probes, s.ReportAge, s.StoreCalls, s.ConfigVersion)
+	s.registry.MustRegister(s.Requests, s.RequestDuration, s.WaitDuration, s.Attempts, s.Repeats, s.Grants, s.Refusals, s.Spills, s.Probes, s.ReportAge, s.StoreCalls, s.InvalidObjects, s.ConfigVersion, s.ConfigWarnings)
 	return s
 }
 
--- a/wagsite/wagsite.go
+++ b/wagsite/wagsite.go
@@ -18,8 +18,10 @@
 // Config is the configuration of a site. It does not change after New has returned
 // it, so requests share it without locks.
 type Config struct {
-	Version  Version
-	Limits   Limits
+	Version Version
+	Limits  Limits
+	// Warnings describes the parts of the configuration that are not used as written.
+	Warnings []string
 	services map[string]Service
 	// routes maps host names in lower case to their routes. The longest prefix comes
 	// first.
@@ -64,8 +66,12 @@
 	// Rank orders routes by priority. 0 is the most urgent.
 	Rank int
 	// TrafficSplit lists the services that share the requests. It is never empty, and
-	// the sum of its weights is above 0.
+	// the sum of its weights is above 0, unless the route is unusable.
 	TrafficSplit []WeightedService
+	// Unusable is why no request of the route can be sent to a server; empty for a
+	// usable route. An unusable route stays in the configuration, so that its requests
+	// are not sent to the services of a shorter prefix.
+	Unusable string
 	// totalWeight is the sum of the weights of TrafficSplit.
 	totalWeight int
 }
@@ -83,29 +89,83 @@
 // without regard to case.
 func New(version Version, limits Limits, services []Service, routes []Route) (c *Config, err error) {
 	defer func() { err = errors.WithMessagef(err, "configuration version %d", version) }()
-	c = &Config{Version: version, Limits: limits, services: make(map[string]Service), routes: make(map[string][]*Route)}
-	for _, s := range services {
-		c.services[s.Name] = s
-	}
+	c = newConfig(version, limits, services)
 	for _, r := range routes {
 		if err := c.addRoute(r); err != nil {
 			return nil, err
 		}
 	}
+	c.sortRoutes()
+	return c, nil
+}
+
+// NewPartial returns a configuration like New, but an invalid route does not affect the
+// others: it becomes unusable, or is left out when it has no valid host name or prefix,
+// or when another route has the same. Warnings names each such route.
+func NewPartial(version Version, limits Limits, services []Service, routes []Route) *Config {
+	c := newConfig(version, limits, services)
+	for _, r := range routes {
+		err := c.addRoute(r)
+		if err == nil {
+			continue
+		}
+		c.Warnings = append(c.Warnings, err.Error())
+		c.addUnusableRoute(r, err)
+	}
+	c.sortRoutes()
+	return c
+}
+
+func newConfig(version Version, limits Limits, services []Service) *Config {
+	c := &Config{Version: version, Limits: limits, services: make(map[string]Service), routes: make(map[string][]*Route)}
+	for _, s := range services {
+		c.services[s.Name] = s
+	}
+	return c
+}
+
+func (c *Config) sortRoutes() {
 	for _, list := range c.routes {
 		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	return c, nil
 }
 
-func (c *Config) addRoute(r Route) (err error) {
-	defer func() { err = errors.WithMessagef(err, "route %q", r.Name) }()
+// addUnusableRoute adds an invalid route without services if its prefix is valid and
+// not taken.
+func (c *Config) addUnusableRoute(r Route, cause error) {
+	if checkPrefix(r) != nil || c.hasPrefix(r) {
+		return
+	}
+	r.Host = strings.ToLower(r.Host)
+	r.TrafficSplit, r.Unusable = nil, cause.Error()
+	r.Attempts, r.Timeout = max(r.Attempts, 1), max(r.Timeout, time.Millisecond)
+	c.routes[r.Host] = append(c.routes[r.Host], &r)
+}
+
+// checkPrefix checks what a route needs to match requests.
+func checkPrefix(r Route) error {
 	if r.Host == "" {
 		return errors.New("the host name is empty")
 	}
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return errors.Errorf("prefix %q does not begin and end with a slash", r.Prefix)
 	}
+	return nil
+}
+
+// hasPrefix reports whether a route with the host name and prefix of r exists.
+func (c *Config) hasPrefix(r Route) bool {
+	return slices.ContainsFunc(c.routes[strings.ToLower(r.Host)], func(other *Route) bool { return other.Prefix == r.Prefix })
+}
+
+func (c *Config) addRoute(r Route) (err error) {
+	defer func() { err = errors.WithMessagef(err, "route %q", r.Name) }()
+	if r.Unusable != "" {
+		return errors.New(r.Unusable)
+	}
+	if err := checkPrefix(r); err != nil {
+		return err
+	}
 	if r.Attempts < 1 || r.Timeout <= 0 {
 		return errors.Errorf("attempts %d and timeout %s must be above 0", r.Attempts, r.Timeout)
 	}
@@ -122,7 +182,7 @@
 	if r.totalWeight == 0 {
 		return errors.New("no service has a weight above 0")
 	}
-	if slices.ContainsFunc(c.routes[r.Host], func(other *Route) bool { return other.Prefix == r.Prefix }) {
+	if c.hasPrefix(r) {
 		return errors.Errorf("prefix %q occurs twice", r.Prefix)
 	}
 	c.routes[r.Host] = append(c.routes[r.Host], &r)
@@ -176,8 +236,11 @@
 
 // SelectService returns the service of the n-th request of the route. In every run
 // of consecutive requests each service gets close to its share, because consecutive
-// numbers are spread evenly over the weights.
+// numbers are spread evenly over the weights. An unusable route has no service.
 func (r *Route) SelectService(n uint64) string {
+	if len(r.TrafficSplit) == 0 {
+		return ""
+	}
 	if len(r.TrafficSplit) == 1 {
 		return r.TrafficSplit[0].Service
 	}
--- a/wagsite/wagsite_test.go
+++ b/wagsite/wagsite_test.go
@@ -98,3 +98,21 @@
 		is.True(assays >= 17 && assays <= 23) // the weights ask for 20 of 200
 	}
 }
+
+// Guards against an invalid route that affects the others, or whose requests match a
+// shorter prefix and reach a service that the route does not name.
+func TestNewPartial(t *testing.T) {
+	is := is.New(t)
+	invalid := testRoute("invalid", "A.example", "/lots/open/", "none")
+	c := NewPartial(3, Limits{}, testServices(), []Route{
+		testRoute("all", "a.example", "/", "lots"), invalid, testRoute("no prefix", "a.example", "", "lots"),
+		testRoute("again", "a.example", "/", "assays"), {Name: "typed", Host: "a.example", Prefix: "/typed/", Unusable: "field timeout is a text"},
+	})
+	is.Equal(len(c.Warnings), 4)
+	r := c.Match("a.example", "/lots/open/1")
+	is.Equal(r.Name, "invalid")
+	is.True(r.Unusable != "")
+	is.Equal(r.SelectService(1), "")
+	is.True(c.Match("a.example", "/typed/1").Unusable != "")
+	is.Equal(c.Match("a.example", "/lots/1").SelectService(1), "lots")
+}
