wagupstream: Bound the head of a response

Cause: http.ReadResponse reads a status line, a header and informational responses without a limit, so that a server that sends them without end fills the memory of a host until the deadline of the request.

Change: status line and header, with the informational responses before them, may have 64 KB. The connection is closed beyond that and the server counts as failed. A body without end was bounded already: TestEndlessBody passed before.

--- a/wagupstream/conn.go
+++ b/wagupstream/conn.go
@@ -26,12 +26,22 @@
 	// maxBufferedBody bounds the part of a response body, in bytes, that is read into
 	// memory before the response is passed on.
 	maxBufferedBody = 256 << 10
+	// maxHeadBytes bounds the status line and header of a response, with the
+	// informational responses before it.
+	maxHeadBytes = 64 << 10
 )
 
+// errHeadTooLong means that the head of a response exceeds maxHeadBytes.
+var errHeadTooLong = errors.Errorf("the head of the response is longer than %d bytes", maxHeadBytes)
+
 // conn is a connection to a server that carries one request at a time.
 type conn struct {
 	raw    net.Conn
 	reader *bufio.Reader
+	// headBytesLeft is how many bytes may still be read of the head of a response. It
+	// applies while readingHead is set.
+	headBytesLeft int
+	readingHead   bool
 	// idleUntil is until when the connection may be reused, and shortIdleUntil until
 	// when it may be while the short idle timeout applies.
 	idleUntil, shortIdleUntil time.Time
@@ -40,7 +50,26 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize)}
+	c := &conn{raw: raw}
+	c.reader = bufio.NewReaderSize(connReader{c}, readBufferSize)
+	return c
+}
+
+// connReader reads from a connection and limits the head of a response.
+type connReader struct{ conn *conn }
+
+// Read reads from the connection.
+func (r connReader) Read(p []byte) (n int, err error) {
+	c := r.conn
+	if !c.readingHead {
+		return c.raw.Read(p)
+	}
+	if c.headBytesLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err = c.raw.Read(p[:min(len(p), c.headBytesLeft)])
+	c.headBytesLeft -= n
+	return n, err
 }
 
 // close closes the connection. The error is ignored because no request is in flight.
@@ -147,12 +176,15 @@
 // after the whole body has been read.
 func (c *conn) read(method string) (resp *Response, keep bool, err error) {
 	request := &http.Request{Method: method}
+	c.readingHead, c.headBytesLeft = true, maxHeadBytes
+	defer func() { c.readingHead = false }()
 	for {
 		httpResp, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // The body is read to its end, or becomes Rest.
 		if err != nil {
 			return nil, false, invalidResponse(err)
 		}
 		if httpResp.StatusCode >= http.StatusOK {
+			c.readingHead = false
 			return readBody(httpResp)
 		}
 		if httpResp.StatusCode == http.StatusSwitchingProtocols {
