wagupstream, waggateway, wagplacement: Observe what servers state on responses

Cause: a server that leaves says so on its responses, before its entry shows it and sometimes although its entry never does; a full one may ask a host for no requests for some time. Both were ignored.

Change: the pool of a host holds the restrictions of servers and sends neither requests nor probes to a server while one is in force. A host names them to the owner of the group with each request. That a server is leaving also reaches the owner with the result of the attempt, and a later owner with the result of the first attempt that it grants there. The restriction of a leaving server ends when the server starts again. A request that avoids all servers of the group is no longer queued.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -16,6 +16,8 @@
 const (
 	reasonCallerLeft = "callerLeft"
 	reasonDeadline   = "deadline"
+	// reasonRestricted means that the server had asked this host for no requests.
+	reasonRestricted = "restricted"
 )
 
 // attempt is one sending of a request to a server.
@@ -53,6 +55,7 @@
 	t.resp, t.connReused = resp, reused
 	t.notSent = errors.Is(err, wagupstream.ErrNotSent)
 	t.result, t.reason = q.classify(ctx, resp, err)
+	q.gateway.restrict(q.service, server, &t.result)
 	if err != nil {
 		t.detail = err.Error()
 	}
@@ -62,7 +65,7 @@
 // finish reports the result of an attempt to the owner and to the observer.
 func (q *request) finish(t *attempt) {
 	t.granted.Finish(t.result)
-	if t.result.Fault == wagplacement.FaultConnect {
+	if t.result.Fault == wagplacement.FaultConnect || t.reason == reasonRestricted {
 		// Nothing was sent: the server counts in serversTried only.
 		q.attempts--
 	}
@@ -113,6 +116,9 @@
 func (q *request) classify(ctx context.Context, resp *wagupstream.Response, err error) (r wagplacement.Result, reason string) {
 	if err != nil {
 		r.Fault = q.classifyError(ctx, err)
+		if errors.Is(err, wagupstream.ErrRestricted) {
+			return r, reasonRestricted
+		}
 		switch r.Fault {
 		case wagplacement.FaultCanceled:
 			return r, reasonCallerLeft
@@ -124,6 +130,10 @@
 	}
 	p := q.gateway.protocol
 	r.Report, r.HasReport = p.LoadReport(resp.Header)
+	r.Leaving = p.IsLeaving(resp.Header)
+	if busyFor := p.BusyFor(resp.Status, resp.Header); busyFor > 0 {
+		r.BusyUntil = q.gateway.clock.Now().Add(busyFor)
+	}
 	switch {
 	case p.IsMisdirected(resp.Status):
 		r.Fault = wagplacement.FaultMisdirected
@@ -140,6 +150,18 @@
 	return r, ""
 }
 
+// restrict applies what the result of an attempt says about further requests of this
+// host. When the server was restricted already, it adds what is known of it, so that an
+// owner that has just taken over learns of a server that is leaving.
+func (g *Gateway) restrict(service string, server wagupstream.Server, r *wagplacement.Result) {
+	if r.Leaving || !r.BusyUntil.IsZero() {
+		g.upstream.Restrict(service, server, wagupstream.Restriction{Leaving: r.Leaving, Until: r.BusyUntil})
+	}
+	if known, ok := g.upstream.RestrictionOf(server); ok {
+		r.Leaving = known.Leaving
+	}
+}
+
 // classifyError returns the fault that an error of an exchange stands for.
 func (q *request) classifyError(ctx context.Context, err error) wagplacement.Fault {
 	switch {
@@ -148,6 +170,8 @@
 	case ctx.Err() != nil:
 		// The caller left, or another server responded first.
 		return wagplacement.FaultCanceled
+	case errors.Is(err, wagupstream.ErrRestricted):
+		return wagplacement.FaultRejected
 	case errors.Is(err, wagupstream.ErrNotSent):
 		return wagplacement.FaultConnect
 	default:
--- a/waggateway/fixture_test.go
+++ b/waggateway/fixture_test.go
@@ -50,9 +50,18 @@
 func (testProtocol) IsMisdirected(status int) bool          { return status == http.StatusMisdirectedRequest }
 func (testProtocol) ServerID(h http.Header) string          { return h.Get("Server-Id") }
 func (testProtocol) HasSignature(h http.Header) bool        { return h.Get("Signed") != "" }
+func (testProtocol) IsLeaving(h http.Header) bool           { return h.Get("Leaving") != "" }
 func (testProtocol) RemoveSignature(h http.Header)          { h.Del("Signed") }
 func (testProtocol) SetRequestID(h http.Header, id string)  { h.Set("Id", id) }
 
+func (testProtocol) BusyFor(status int, h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || status != http.StatusServiceUnavailable {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 // Responses of servers. %s stands for the ID of the request.
 const (
 	responseOK          = "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -61,6 +70,8 @@
 	responseFull        = "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
 	responseBusy        = "HTTP/1.1 503 Busy\r\nId: %s\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n"
 	responseMisdirected = "HTTP/1.1 421 Other\r\nId: %s\r\nContent-Length: 0\r\n\r\n"
+	responseLeaving     = "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok"
+	responseRetryAfter  = "HTTP/1.1 503 Full\r\nId: %s\r\nNot-Run: 1\r\nRetry-After: 20\r\nContent-Length: 0\r\n\r\n"
 	responseTruncated   = "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 20\r\n\r\nok"
 	responseNone        = ""
 )
--- a/waggateway/gateway_test.go
+++ b/waggateway/gateway_test.go
@@ -315,3 +315,33 @@
 	is.Equal(f.placer.results[0].Fault, wagplacement.FaultConnect)
 	is.Equal(b.instance(), wagserver.Instance{ID: "b", Address: b.address})
 }
+
+// Guards against requests to a server that has stated on a response that it is leaving,
+// or that has turned this host away for some time, when the owner still grants it.
+func TestRestrictedServer(t *testing.T) {
+	for _, x := range []struct {
+		name, first string
+		leaving     bool
+	}{
+		{"leaving", responseLeaving, true},
+		{"busy", responseRetryAfter, false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			is := is.New(t)
+			a, b := newTestServer(t, "a", x.first), newTestServer(t, "b", responseOK)
+			f := newFixture(t, a, b, a, a, a, b)
+			f.send(t, http.MethodGet, "/status/1", nil)
+			f.placer.mu.Lock()
+			f.placer.servers = []*testServer{a, a, b}
+			f.placer.requests, f.placer.results = nil, nil
+			f.placer.mu.Unlock()
+			resp, _ := f.send(t, http.MethodPost, "/commit/1", strings.NewReader("body"))
+			is.Equal(resp.StatusCode, 200)
+			is.Equal(a.requestCount(), 1)
+			is.Equal(f.placer.requests[0].Avoid, []string{"a"})
+			is.True(!f.placer.requests[2].Repeat) // nothing was sent
+			is.Equal(f.placer.results[0].Fault, wagplacement.FaultRejected)
+			is.Equal(f.placer.results[0].Leaving, x.leaving) // a new owner learns of it
+		})
+	}
+}
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -231,7 +231,7 @@
 	}
 	outcome := q.gateway.placer.Place(ctx, q.service, wagplacement.Request{
 		Route: q.route.Name, Rank: q.route.Rank, Goal: goal, Deadline: q.deadline,
-		Name: q.id, Avoid: q.avoidServers, Repeat: q.attempts > 0, Hedge: hedge,
+		Name: q.id, Avoid: append(q.gateway.upstream.RestrictedServers(q.service), q.avoidServers...), Repeat: q.attempts > 0, Hedge: hedge,
 	})
 	if !hedge {
 		q.waitTime += q.gateway.clock.Now().Sub(start)
@@ -263,6 +263,9 @@
 		q.mayHaveRun = true
 	}
 	q.avoidServers = append(q.avoidServers, t.granted.Server.ID)
+	if !t.hasResponse() {
+		t.closeBody()
+	}
 	switch {
 	case t.result.Fault == wagplacement.FaultNone:
 		return t.response(), true
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -39,6 +39,11 @@
 	// IsMisdirected reports whether a status says that another server now has the
 	// address.
 	IsMisdirected(status int) bool
+	// IsLeaving reports whether a server states on a response that it is leaving.
+	IsLeaving(h http.Header) bool
+	// BusyFor returns how long a server that rejected a request wants no others from
+	// this host, or 0.
+	BusyFor(status int, h http.Header) time.Duration
 	// ServerID returns the ID that a server states on a response, or an empty string.
 	ServerID(h http.Header) string
 	// HasSignature reports whether a response carries the signature that a server puts
--- a/waghost/probe.go
+++ b/waghost/probe.go
@@ -33,9 +33,13 @@
 	request := &wagupstream.Request{Method: http.MethodGet, Target: path, Host: server.Address.String(), Header: http.Header{}}
 	deadline, _ := ctx.Deadline()
 	start := time.Now()
-	resp, _, err := p.host.upstream.Exchange(ctx, wagupstream.Server{Address: server.Address, ID: server.ID}, request, deadline)
+	target := wagupstream.Server{Address: server.Address, ID: server.ID}
+	resp, _, err := p.host.upstream.Exchange(ctx, target, request, deadline)
 	result := wagplacement.Result{Latency: time.Since(start)}
 	switch {
+	case errors.Is(err, wagupstream.ErrRestricted):
+		restriction, _ := p.host.upstream.RestrictionOf(target)
+		return wagplacement.Result{Fault: wagplacement.FaultCanceled, Leaving: restriction.Leaving, BusyUntil: restriction.Until}
 	case errors.Is(err, wagupstream.ErrNotSent):
 		result.Fault = wagplacement.FaultConnect
 		return result
@@ -43,6 +47,16 @@
 		result.Fault = wagplacement.FaultBroken
 		return result
 	}
+	if resp.BodyRest != nil {
+		_ = resp.BodyRest.Close() // always nil
+	}
+	result.Leaving = p.protocol.IsLeaving(resp.Header)
+	if busyFor := p.protocol.BusyFor(resp.Status, resp.Header); busyFor > 0 {
+		result.BusyUntil = p.host.clock.Now().Add(busyFor)
+	}
+	if result.Leaving || !result.BusyUntil.IsZero() {
+		p.host.upstream.Restrict(server.Service, target, wagupstream.Restriction{Leaving: result.Leaving, Until: result.BusyUntil})
+	}
 	result.Report, result.HasReport = p.protocol.LoadReport(resp.Header)
 	if id := p.protocol.ServerID(resp.Header); id != "" && id != server.ID {
 		return wagplacement.Result{Fault: wagplacement.FaultMisdirected}
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -225,6 +225,9 @@
 	if known && old.State == instance.State && old.Started.Equal(instance.Started) {
 		return
 	}
+	if known && !old.Started.Equal(instance.Started) {
+		s.upstream.LiftRestriction(wagupstream.Server{Address: instance.Address, ID: instance.ID})
+	}
 	s.log.Info(waglog.KindServer, waglog.Fields{
 		"server": instance.ID, "service": instance.Service, "dataCentre": instance.DataCentre, "event": string(instance.State), "revision": r.Revision,
 	})
--- a/wagmesh/message.go
+++ b/wagmesh/message.go
@@ -145,7 +145,7 @@
 
 // finishMessage converts the result of an attempt to its message.
 func finishMessage(id uint64, r wagplacement.Result) *Finish {
-	m := &Finish{Id: id, Fault: uint32(r.Fault), TookMicros: uint32(max(r.Latency.Microseconds(), 0))}
+	m := &Finish{Id: id, Fault: uint32(r.Fault), TookMicros: uint32(max(r.Latency.Microseconds(), 0)), Leaving: r.Leaving}
 	if r.HasReport {
 		m.Report = &Report{
 			Running: uint32(max(r.Report.Running, 0)), Waiting: uint32(max(r.Report.Waiting, 0)), Slots: uint32(max(r.Report.Slots, 0)),
@@ -157,7 +157,7 @@
 
 // resultFromMessage converts a message to the result of an attempt.
 func resultFromMessage(m *Finish) wagplacement.Result {
-	r := wagplacement.Result{Fault: wagplacement.Fault(m.GetFault()), Latency: time.Duration(m.GetTookMicros()) * time.Microsecond}
+	r := wagplacement.Result{Fault: wagplacement.Fault(m.GetFault()), Latency: time.Duration(m.GetTookMicros()) * time.Microsecond, Leaving: m.GetLeaving()}
 	if report := m.GetReport(); report != nil {
 		r.HasReport = true
 		r.Report = wagplacement.Report{
--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -2,9 +2,8 @@
 
 import (
 	"math"
+	"slices"
 	"time"
-
-	"github.com/wagtailspar/wagtailspar/wagserver"
 )
 
 const (
@@ -73,7 +72,7 @@
 // these slots are free.
 func (sc *Scheduler) countSlots(now time.Time) (all, free float64) {
 	for _, s := range sc.byID {
-		if s.State != wagserver.Live || s.isExcluded(now) || s.stuckCount > 1 {
+		if !s.isLive() || s.isExcluded(now) || s.stuckCount > 1 {
 			continue
 		}
 		limit := sc.concurrencyLimit(s)
@@ -91,7 +90,7 @@
 // estimateWait estimates how long a request waits behind a number of others.
 func (sc *Scheduler) estimateWait(now time.Time, w *waiter, ahead int) time.Duration {
 	all, free := sc.countSlots(now)
-	if all == 0 {
+	if all == 0 || sc.avoidsAllServers(w) {
 		return noServerWait
 	}
 	missingSlots := float64(ahead) + 1 - free
@@ -101,6 +100,11 @@
 	return time.Duration(missingSlots / all * float64(sc.meanHoldTime(w)))
 }
 
+// avoidsAllServers reports whether the request avoids each server that is not leaving.
+func (sc *Scheduler) avoidsAllServers(w *waiter) bool {
+	return len(w.Avoid) > 0 && !slices.ContainsFunc(sc.byID, func(s *server) bool { return s.isLive() && !slices.Contains(w.Avoid, s.ID) })
+}
+
 // meanHoldTime returns the mean time that a request holds a slot.
 func (sc *Scheduler) meanHoldTime(w *waiter) time.Duration {
 	if sc.load.meanHoldTime == 0 {
@@ -132,7 +136,7 @@
 	if sc.requestSpill(now, w) {
 		return true
 	}
-	if spare := sc.spareRate(now, w); spare > 0 {
+	if spare := sc.spareRate(now, w); spare > 0 && wait < noServerWait {
 		lateWait := time.Duration(float64(ahead+1) / spare * float64(time.Second))
 		if !now.Add(lateWait).After(w.latestStartForDeadline()) {
 			return true
--- a/wagplacement/scheduler_test.go
+++ b/wagplacement/scheduler_test.go
@@ -526,3 +526,56 @@
 		g.finish(id, FaultNone)
 	}
 }
+
+// Guards against further requests to a server that stated on a response that it is
+// leaving while its entry still says that it is live, also after that entry is read
+// again; and against a new start of the server that gets none.
+func TestLeavingStatedOnResponse(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, 6)
+	id := g.submit(nil)
+	leaving := g.granted[id]
+	g.scheduler.FinishAttempt(g.now, id, Result{Leaving: true, Latency: testServiceTime})
+	g.executeCommands()
+	list := instances(2, 6)
+	g.scheduler.SetServers(g.now, list)
+	for range 4 {
+		is.True(g.granted[g.submit(nil)] != leaving)
+	}
+	for i := range list {
+		if list[i].ID == leaving {
+			list[i].Started = g.now
+		}
+	}
+	g.scheduler.SetServers(g.now, list)
+	is.Equal(g.granted[g.submit(nil)], leaving)
+}
+
+// Guards against a request that waits although no server of the group may take it from
+// its host.
+func TestAllServersAvoided(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(2, 6)
+	id := g.submit(func(r *Request) { r.Avoid = []string{"s0", "s1"} })
+	is.Equal(g.refused[id].Reason, ReasonOverload)
+	id = g.submit(func(r *Request) { r.Avoid = []string{"s0", "gone"} })
+	is.Equal(g.granted[id], "s1")
+}
+
+// Guards against a server that is probed again and again while it turns the host away,
+// and against requests of other hosts that wait for such a probe.
+func TestProbesOfBusyServer(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 6)
+	g.silent["s0"] = true
+	id := g.submit(nil)
+	is.Equal(g.probes, 1)
+	g.scheduler.HandleProbeResult(g.now, "s0", Result{Fault: FaultCanceled, BusyUntil: g.now.Add(time.Second)})
+	g.executeCommands()
+	is.Equal(g.granted[id], "s0")
+	for range 20 {
+		g.submit(nil)
+		g.advance(20 * time.Millisecond)
+	}
+	is.Equal(g.probes, 1)
+}
--- a/wagplacement/servers.go
+++ b/wagplacement/servers.go
@@ -92,7 +92,12 @@
 	exclusionLifted bool
 	// The server counts as full until rejectedUntil.
 	rejectedUntil time.Time
-	disabled      map[Mechanism]bool
+	// leaving is set when the server stated on a response that it is leaving, which its
+	// entry may show much later or never.
+	leaving bool
+	// The server takes no probes from this host until probesBlockedUntil.
+	probesBlockedUntil time.Time
+	disabled           map[Mechanism]bool
 }
 
 // sortServers rebuilds byID.
@@ -136,9 +141,12 @@
 	}
 }
 
+// isLive reports whether the server is listed and not leaving.
+func (s *server) isLive() bool { return s.listed && s.State == wagserver.Live && !s.leaving }
+
 // isUsable reports whether the server may get requests, whatever its load is.
 func (s *server) isUsable(now time.Time, avoid []string) bool {
-	return s.listed && s.State == wagserver.Live && !s.isExcluded(now) && !s.rejectedUntil.After(now) && !slices.Contains(avoid, s.ID)
+	return s.isLive() && !s.isExcluded(now) && !s.rejectedUntil.After(now) && !slices.Contains(avoid, s.ID)
 }
 
 // hasFreshReport reports whether the latest load report is current.
@@ -149,7 +157,7 @@
 // isLoadKnown reports whether as much is known of the server's load as can be: the
 // latest report is current, or the server cannot be probed for another one.
 func (s *server) isLoadKnown(now time.Time) bool {
-	return s.hasFreshReport(now) || s.withoutReports || !s.probing && s.probeLimiter.TokensAt(now) < 1
+	return s.hasFreshReport(now) || s.withoutReports || s.probesBlockedUntil.After(now) || !s.probing && s.probeLimiter.TokensAt(now) < 1
 }
 
 // serviceWithoutReports reports whether no server has sent a load report and at least
@@ -200,6 +208,7 @@
 	// The load report in a response still counts the request of the response.
 	r.Report.Running = max(r.Report.Running-1, 0)
 	s.recordReport(now, r)
+	s.leaving = s.leaving || r.Leaving
 	switch r.Fault {
 	case FaultNone:
 		s.failures, s.respondedAt = 0, now
@@ -238,6 +247,8 @@
 // recordProbe updates the server with the result of a probe.
 func (s *server) recordProbe(now time.Time, r Result) {
 	s.recordReport(now, r)
+	s.leaving = s.leaving || r.Leaving
+	s.probesBlockedUntil = r.BusyUntil
 	switch r.Fault {
 	case FaultNone, FaultCanceled, FaultError:
 		// Health checks are unreliable both ways, so that only responses to requests count.
--- a/wagplacement/wagplacement.go
+++ b/wagplacement/wagplacement.go
@@ -25,7 +25,8 @@
 	// A response has its full value until Goal and none after Deadline. Goal is not
 	// after Deadline.
 	Goal, Deadline time.Time
-	// Avoid lists the IDs of the servers on which the request failed.
+	// Avoid lists the IDs of the servers on which the request failed, and of those that
+	// take no requests from its host.
 	Avoid []string
 	// Repeat marks a request that was sent to a server before, so that it counts
 	// towards the retry budget.
@@ -185,4 +186,9 @@
 	// Report is valid if HasReport is set.
 	Report    Report
 	HasReport bool
+	// Leaving is set when the server stated that it is leaving.
+	Leaving bool
+	// BusyUntil is until when the server wants no requests from the host that made the
+	// attempt or the probe; zero when it stated no time.
+	BusyUntil time.Time
 }
--- a/wagupstream/exchange.go
+++ b/wagupstream/exchange.go
@@ -20,8 +20,12 @@
 
 // Exchange sends a request to a server and returns its response. The connection has to
 // be open by dialBy, and the response has to arrive before ctx ends. reused reports
-// whether the request was sent on a reused connection.
+// whether the request was sent on a reused connection. The error is ErrRestricted while
+// a restriction of the server is in force.
 func (p *Pool) Exchange(ctx context.Context, s Server, r *Request, dialBy time.Time) (resp *Response, reused bool, err error) {
+	if _, restricted := p.RestrictionOf(s); restricted {
+		return nil, false, ErrRestricted
+	}
 	c, reused, err := p.acquire(ctx, s, r.AtMostOnce, dialBy)
 	if err != nil {
 		return nil, false, err
--- a/wagupstream/pool.go
+++ b/wagupstream/pool.go
@@ -48,6 +48,8 @@
 	idle   map[Server][]*conn
 	closed bool
 	stats  Stats
+
+	restrictions restrictions
 }
 
 // Stats counts the events of a pool.
@@ -72,6 +74,7 @@
 // of a request.
 func NewPool(idHeader string, opts ...Option) *Pool {
 	p := &Pool{dialer: &net.Dialer{KeepAlive: keepAliveDisabled}, idHeader: idHeader, now: time.Now, idle: make(map[Server][]*conn)}
+	p.restrictions.byServer = make(map[Server]storedRestriction)
 	for _, o := range opts {
 		o(p)
 	}
@@ -151,8 +154,9 @@
 }
 
 // Prune closes the idle connections to servers that keep rejects, and those that have
-// been idle for too long.
+// been idle for too long. It drops the restrictions that have ended.
 func (p *Pool) Prune(keep func(Server) bool) {
+	p.restrictions.prune(p.now(), keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
--- a/wagupstream/wagupstream_test.go
+++ b/wagupstream/wagupstream_test.go
@@ -449,3 +449,108 @@
 		is.Equal(reused, x.reused)
 	}
 }
+
+// Guards against a server that fills the memory of a host with a head that never ends,
+// or keeps a request waiting with informational responses.
+func TestEndlessHead(t *testing.T) {
+	for name, x := range map[string]struct{ begin, rest string }{
+		"one line":      {"HTTP/1.1 200 OK\r\nX: ", "aaaaaaaaaaaaaaaa"},
+		"status line":   {"HTTP/1.1 200 ", "aaaaaaaaaaaaaaaa"},
+		"many lines":    {"HTTP/1.1 200 OK\r\n", "X: aaaaaaaaaaaaaaaa\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n"},
+		"no response":   {"", "\x00\x01\x02\x03"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			written := make(chan int, 1)
+			s := newScriptedServer(t, func(c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				n, _ := io.WriteString(c, x.begin)
+				// The bound keeps the test finite. The client closes long before.
+				for n < 256<<20 {
+					m, err := io.WriteString(c, strings.Repeat(x.rest, 100))
+					n += m
+					if err != nil {
+						break
+					}
+				}
+				written <- n
+			})
+			p := NewPool(idHeader)
+			defer p.Close()
+			_, _, err := send(p, s, newGet("r1"))
+			is.True(errors.Is(err, ErrInvalidResponse))
+			is.True(<-written < 64<<20) // no more than the socket buffers take
+		})
+	}
+}
+
+// Guards against a body that never ends and is kept in memory, or looks complete.
+func TestEndlessBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"until close": "HTTP/1.1 200 OK\r\n" + idHeader + ": r1\r\n\r\n",
+		"chunked":     "HTTP/1.1 200 OK\r\n" + idHeader + ": r1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScriptedServer(t, func(c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				_, err := io.WriteString(c, head)
+				for range 1 << 20 {
+					if err != nil {
+						return
+					}
+					_, err = io.WriteString(c, "40\r\n"+strings.Repeat("a", 64)+"\r\n")
+				}
+			})
+			p := NewPool(idHeader)
+			defer p.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			resp, _, err := p.Exchange(ctx, s.target(), newGet("r1"), time.Now().Add(time.Second))
+			is.NoErr(err)
+			is.Equal(len(resp.Body), maxBufferedBody)
+			_, err = io.CopyN(io.Discard, resp.BodyRest, 1<<20)
+			is.NoErr(err)
+			cancel() // the deadline of the request
+			_, err = io.Copy(io.Discard, resp.BodyRest)
+			is.True(errors.Is(err, ErrInvalidResponse))
+		})
+	}
+}
+
+// Guards against requests and probes to a server that asked for none, and against
+// restrictions that outlive the server or fill the memory.
+func TestRestrictions(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	p := NewPool(idHeader, WithNow(func() time.Time { return now }))
+	server := func(id string) Server { return Server{Address: netip.MustParseAddrPort("127.0.0.1:9"), ID: id} }
+	p.Restrict("lots", server("leaving"), Restriction{Leaving: true})
+	p.Restrict("lots", server("busy"), Restriction{Until: now.Add(2 * time.Second)})
+	p.Restrict("lots", server("busy"), Restriction{Until: now.Add(time.Second)})
+	p.Restrict("lots", server("greedy"), Restriction{Until: now.Add(time.Hour)})
+	p.Restrict("assays", server("other"), Restriction{Leaving: true})
+	is.Equal(p.RestrictedServers("lots"), []string{"busy", "greedy", "leaving"})
+	_, _, err := p.Exchange(context.Background(), server("busy"), newGet("r1"), now.Add(time.Second))
+	is.True(errors.Is(err, ErrRestricted) && errors.Is(err, ErrNotSent))
+	now = now.Add(1500 * time.Millisecond)
+	is.Equal(len(p.RestrictedServers("lots")), 3) // a shorter one does not replace a longer one
+	now = now.Add(time.Second)
+	is.Equal(p.RestrictedServers("lots"), []string{"greedy", "leaving"})
+	now = now.Add(maxRestriction)
+	is.Equal(p.RestrictedServers("lots"), []string{"leaving"})
+	p.Prune(func(Server) bool { return true })
+	now = now.Add(restrictionTTL - time.Second)
+	p.Prune(func(Server) bool { return false })
+	is.Equal(p.RestrictedServers("lots"), []string{"leaving"}) // its entry has gone lately
+	p.LiftRestriction(server("leaving"))
+	is.Equal(len(p.RestrictedServers("lots")), 0) // it has started again
+	now = now.Add(2 * time.Second)
+	p.Prune(func(Server) bool { return false })
+	is.Equal(len(p.restrictions.byServer), 0)
+	for n := range maxRestrictions + 10 {
+		p.Restrict("lots", server(fmt.Sprint(n)), Restriction{Leaving: true})
+	}
+	is.Equal(len(p.restrictions.byServer), maxRestrictions)
+}
