waggateway: Run pipelined requests ahead of their turn

Cause: net/http serves the requests of a connection one after the other, so that a pipelined request waited for those before it, and once it had received a byte of one it no longer noticed that the caller had left.

Ruled out: a server of our own around http.ReadRequest, which would have to decide again what a request is, when a connection closes and how a response is framed.

Change: the connections of callers are wrapped. The wrapper finds the pipelined requests in the bytes that net/http reads and runs up to 8 of a connection at once: safe ones without a body, on idempotent routes. Their handlers take over the executions in order. It reads on while a handler runs, so that a caller that leaves ends all requests of its connection. A shutdown does not close a connection while requests run ahead on it, and starts no more of them.

--- a/waggateway/fixture_test.go
+++ b/waggateway/fixture_test.go
@@ -230,7 +230,10 @@
 	f := &fixture{placer: &fakePlacer{servers: servers, refusal: wagowner.Refused{Reason: wagplacement.ReasonOverload, RetryAt: time.Now().Add(time.Minute)}}}
 	f.gateway = New(testProtocol{}, f.placer, pool, WithLog(log))
 	f.gateway.SetConfig(testConfig(t, 1, testTimeout))
-	f.server = httptest.NewServer(f.gateway)
+	f.server = httptest.NewUnstartedServer(f.gateway)
+	f.server.Config.ConnContext = connContext
+	f.server.Listener = callerListener{Listener: f.server.Listener, gateway: f.gateway}
+	f.server.Start()
 	t.Cleanup(func() {
 		f.server.Close()
 		pool.Close()
--- /dev/null
+++ b/waggateway/readahead.go
@@ -0,0 +1,381 @@
+package waggateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// maxAhead bounds the requests of a connection that run ahead of their turn.
+	maxAhead = 8
+	// maxUnreadBytes bounds the bytes that are read from a connection before net/http
+	// asks for them, and the size of a request that runs ahead.
+	maxUnreadBytes = 64 << 10
+	// readAheadSize is the size of one read in bytes.
+	readAheadSize = 4 << 10
+)
+
+// callerConn is a connection of a caller. net/http serves the requests of a connection
+// one after the other; requests that a caller pipelines would wait for those before
+// them. A callerConn finds such requests in the bytes that it reads and runs them ahead
+// of their turn: the handler of a later request then takes over an execution that has
+// begun already. net/http still decides what a request is, answers in order and ends
+// connections. Only safe requests without a body on idempotent routes run ahead
+// (RFC 9112, section 9.3.2).
+type callerConn struct {
+	net.Conn
+	gateway *Gateway
+	// ctx ends with the connection.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// tasks runs the executions and readAhead.
+	tasks errgroup.Group
+
+	mu sync.Mutex
+	// changed is signalled when the fields below change.
+	changed *sync.Cond
+	// tracking is set until something is received whose end only net/http can tell.
+	tracking bool
+	// head holds the received bytes of the next request while tracking is set.
+	head []byte
+	// received counts the requests that were received completely, and begun those whose
+	// handler has been called.
+	received, begun int
+	// handling is set while a handler runs.
+	handling bool
+	// ahead holds the requests that run ahead, by their number on the connection.
+	// waiting holds those that exceed maxAhead, in order.
+	ahead   map[int]*execution
+	waiting []pipelinedRequest
+	// reading is set while readAhead runs. Read then takes what that has received from
+	// unread, and afterwards returns readErr.
+	reading bool
+	unread  []byte
+	readErr error
+	closed  bool
+}
+
+// pipelinedRequest is a request with its number on the connection, which begins at 1.
+type pipelinedRequest struct {
+	number  int
+	request *http.Request
+}
+
+// execution is a request that is placed and sent to servers, up to its response.
+type execution struct {
+	incoming *http.Request
+	cancel   context.CancelFunc
+	start    time.Time
+	// ended is closed when the fields below are set. request is nil when the request was
+	// not accepted.
+	ended    chan struct{}
+	request  *request
+	response response
+}
+
+// isFor reports whether the execution is that of a request.
+func (x *execution) isFor(p Protocol, r *http.Request) bool {
+	return x.incoming.Method == r.Method && x.incoming.RequestURI == r.RequestURI && x.incoming.Host == r.Host && p.RequestID(x.incoming.Header) == p.RequestID(r.Header)
+}
+
+// callerListener accepts the connections of callers.
+type callerListener struct {
+	net.Listener
+	gateway *Gateway
+}
+
+// Accept waits for the next connection.
+func (l callerListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newCallerConn(raw, l.gateway), nil
+}
+
+func newCallerConn(raw net.Conn, g *Gateway) *callerConn {
+	c := &callerConn{Conn: raw, gateway: g, tracking: true, ahead: make(map[int]*execution)}
+	c.changed = sync.NewCond(&c.mu)
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+type connContextKey struct{}
+
+// connContext returns the context of the requests of a connection, as the ConnContext
+// function of a server.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return ctx
+	}
+	return context.WithValue(c.ctx, connContextKey{}, c)
+}
+
+// callerConnOf returns the connection of a request, or nil.
+func callerConnOf(r *http.Request) *callerConn {
+	c, _ := r.Context().Value(connContextKey{}).(*callerConn)
+	return c
+}
+
+// Read reads from the connection.
+func (c *callerConn) Read(p []byte) (n int, err error) {
+	c.mu.Lock()
+	for c.reading && len(c.unread) == 0 {
+		c.changed.Wait()
+	}
+	if len(c.unread) > 0 {
+		n = copy(p, c.unread)
+		c.unread = c.unread[n:]
+		c.changed.Broadcast()
+		c.mu.Unlock()
+		return n, nil
+	}
+	if err := c.readErr; err != nil {
+		c.mu.Unlock()
+		return 0, err
+	}
+	c.mu.Unlock()
+	n, err = c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.receive(p[:n])
+		if c.handling && c.tracking && !c.reading && !c.closed {
+			// net/http has read the first byte of another request while a handler runs and
+			// reads no more before that returns.
+			c.reading = true
+			c.tasks.Go(c.readAhead)
+		}
+	}
+	return n, err
+}
+
+// readAhead reads from the connection until it ends. It shows that a caller has left,
+// which net/http does not notice once it has received a byte of another request.
+func (c *callerConn) readAhead() error {
+	buffer := make([]byte, readAheadSize)
+	for {
+		n, err := c.Conn.Read(buffer)
+		c.mu.Lock()
+		c.unread = append(c.unread, buffer[:n]...)
+		c.receive(buffer[:n])
+		c.reading = err == nil
+		if err != nil {
+			c.readErr = err
+		}
+		c.changed.Broadcast()
+		for err == nil && len(c.unread) >= maxUnreadBytes && !c.closed {
+			c.changed.Wait()
+		}
+		c.mu.Unlock()
+		if err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				c.cancel()
+			}
+			return nil
+		}
+	}
+}
+
+// SetReadDeadline sets the deadline of reads. A read that has exceeded an earlier one
+// does not affect the reads that follow.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
+		c.readErr = nil
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// CloseWrite closes the sending side, which net/http does before it closes a connection
+// with unread bytes.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and cancels its requests.
+func (c *callerConn) Close() error {
+	c.cancel()
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// receive looks for complete requests in the received bytes and runs those ahead that
+// wait for an earlier one; c.mu is held.
+func (c *callerConn) receive(p []byte) {
+	if !c.tracking {
+		return
+	}
+	c.head = append(c.head, p...)
+	for {
+		before, rest, found := bytes.Cut(c.head, []byte("\r\n\r\n"))
+		if !found {
+			if len(c.head) > maxUnreadBytes {
+				c.stopTracking()
+			}
+			return
+		}
+		if !mayRunAhead(before) {
+			c.stopTracking()
+			return
+		}
+		c.received++
+		if c.handling || c.received > c.begun+1 {
+			r := parseHead(c.head[:len(before)+4])
+			if r == nil {
+				c.stopTracking()
+				return
+			}
+			r.RemoteAddr = c.RemoteAddr().String()
+			c.waiting = append(c.waiting, pipelinedRequest{number: c.received, request: r})
+			c.startWaiting()
+		}
+		c.head = append(c.head[:0], rest...)
+	}
+}
+
+// stopTracking ends the search for pipelined requests on the connection; c.mu is held.
+// Requests that run ahead already keep their turn.
+func (c *callerConn) stopTracking() { c.tracking, c.head = false, nil }
+
+// mayRunAhead reports whether a head is that of a safe request without a body, after
+// which the connection carries another one.
+func mayRunAhead(head []byte) bool {
+	if !bytes.HasPrefix(head, []byte("GET ")) && !bytes.HasPrefix(head, []byte("HEAD ")) {
+		return false
+	}
+	lower := bytes.ToLower(head)
+	for _, field := range []string{"\ncontent-length", "\ntransfer-encoding", "\nexpect", "\nupgrade", "\nconnection"} {
+		if bytes.Contains(lower, []byte(field)) && !bytes.Contains(lower, []byte("\nconnection: keep-alive\r\n")) {
+			return false
+		}
+	}
+	return true
+}
+
+// parseHead returns the request with a head, or nil if the head is not that of exactly
+// one request.
+func parseHead(head []byte) *http.Request {
+	reader := bufio.NewReader(bytes.NewReader(head))
+	r, err := http.ReadRequest(reader)
+	if err != nil || reader.Buffered() > 0 || r.ContentLength != 0 || r.Close || r.ProtoMajor != 1 || r.ProtoMinor != 1 {
+		return nil
+	}
+	return r
+}
+
+// startWaiting starts the requests that may run ahead now; c.mu is held.
+func (c *callerConn) startWaiting() {
+	for len(c.waiting) > 0 && len(c.ahead) < maxAhead && c.ctx.Err() == nil {
+		next := c.waiting[0]
+		c.waiting = c.waiting[1:]
+		if next.number <= c.begun {
+			continue
+		}
+		if x := c.gateway.startAhead(c, next.request); x != nil {
+			c.ahead[next.number] = x
+		}
+	}
+}
+
+// startAhead begins the execution of a pipelined request. It returns nil for a request
+// that has to wait for its turn. None starts during a shutdown, because the connection
+// closes after the response that the caller waits for.
+func (g *Gateway) startAhead(c *callerConn, r *http.Request) *execution {
+	config := g.config.Load()
+	if config == nil || g.shuttingDown.Load() {
+		return nil
+	}
+	if route := config.Match(r.Host, routePath(r)); route == nil || !route.Idempotent {
+		return nil
+	}
+	x := g.newExecution(r.WithContext(c.ctx))
+	c.tasks.Go(func() error {
+		x.accept(g)
+		x.run()
+		return nil
+	})
+	return x
+}
+
+// newExecution returns the execution of a request. accept and run have to follow.
+func (g *Gateway) newExecution(r *http.Request) *execution {
+	ctx, cancel := context.WithCancel(r.Context())
+	return &execution{incoming: r.WithContext(ctx), cancel: cancel, start: g.clock.Now(), ended: make(chan struct{})}
+}
+
+// accept checks the request and reads its body.
+func (x *execution) accept(g *Gateway) { x.request, x.response = g.newRequest(x.incoming) }
+
+// run places and sends an accepted request.
+func (x *execution) run() {
+	defer close(x.ended)
+	if x.request != nil {
+		x.response = x.request.run()
+	}
+}
+
+// release ends what still runs for the execution, after its response was written.
+func (x *execution) release() {
+	<-x.ended
+	if x.request != nil {
+		x.request.cancelAttempts()
+	}
+	x.cancel()
+}
+
+// begin records that the handler of the next request has been called. It returns the
+// execution of that request if it runs ahead, and nil otherwise.
+func (c *callerConn) begin(r *http.Request) *execution {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun++
+	c.handling = true
+	x := c.ahead[c.begun]
+	delete(c.ahead, c.begun)
+	if x != nil && !x.isFor(c.gateway.protocol, r) {
+		// The search has lost its place. Its executions are those of no request.
+		c.stopTracking()
+		c.waiting = nil
+		for number, other := range c.ahead {
+			other.cancel()
+			delete(c.ahead, number)
+		}
+		x.cancel()
+		x = nil
+	}
+	c.startWaiting()
+	return x
+}
+
+// end records that a handler returns.
+func (c *callerConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = false
+}
+
+// hasAhead reports whether requests run ahead that a close after the current response
+// would leave without one.
+func (c *callerConn) hasAhead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.ahead) > 0
+}
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -68,7 +68,8 @@
 	// fallback is the error response of a server while another server is tried; nil
 	// otherwise.
 	fallback *response
-	// cancels holds the cancel functions of the attempts that run in the background.
+	// cancels holds the cancel functions of the context and of the attempts that run in
+	// the background.
 	cancels []context.CancelFunc
 }
 
@@ -85,28 +86,38 @@
 
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	start := g.clock.Now()
-	q, resp := g.newRequest(r)
-	if q != nil {
-		if q.bodyRest != nil {
+	var x *execution
+	conn := callerConnOf(r)
+	if conn != nil {
+		x = conn.begin(r)
+		defer conn.end()
+	}
+	if x == nil {
+		x = g.newExecution(r)
+		x.accept(g)
+		if x.request != nil && x.request.bodyRest != nil {
 			defer allowEarlyResponse(w)()
 		}
-		// The context stays live until the response is written, because the rest of a
-		// long one is read meanwhile.
-		ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
-		defer cancel()
-		defer q.cancelAttempts()
-		resp = q.run(ctx)
+		x.run()
+	} else {
+		stop := context.AfterFunc(r.Context(), x.cancel)
+		defer stop()
 	}
-	g.observer.RequestEnded(g.requestResult(r, q, resp, start))
-	g.writeResponse(w, r, resp)
+	// The execution is released after the response is written, because the rest of a long
+	// one is read meanwhile.
+	defer x.release()
+	<-x.ended
+	g.observer.RequestEnded(g.requestResult(r, x))
+	closing := r.Close || x.incoming.Close || g.shuttingDown.Load() && (conn == nil || !conn.hasAhead())
+	g.writeResponse(w, r, x.response, closing)
 }
 
-// requestResult describes a request that has ended; q is nil when it was not accepted.
-func (g *Gateway) requestResult(r *http.Request, q *request, resp response, start time.Time) RequestResult {
+// requestResult describes a request that has ended.
+func (g *Gateway) requestResult(r *http.Request, x *execution) RequestResult {
+	q, resp := x.request, x.response
 	result := RequestResult{
 		RequestID: g.protocol.RequestID(r.Header), CallerAddress: r.RemoteAddr, Outcome: resp.outcome, Status: resp.status, Reason: resp.reason,
-		Duration: g.clock.Now().Sub(start),
+		Duration: g.clock.Now().Sub(x.start),
 	}
 	if q != nil {
 		result.Route, result.Service, result.ConfigVersion, result.ServerID, result.Attempts, result.WaitTime = q.route.Name, q.service, q.configVersion, q.lastServer, q.attempts, q.waitTime
@@ -148,8 +159,7 @@
 	if limit := config.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
 		return nil, response{status: http.StatusRequestHeaderFieldsTooLarge, outcome: OutcomeRejected, reason: "headerTooLong"}
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route := config.Match(r.Host, path)
+	route := config.Match(r.Host, routePath(r))
 	if route == nil {
 		return nil, response{status: http.StatusNotFound, outcome: OutcomeRejected, reason: "noRoute"}
 	}
@@ -171,6 +181,13 @@
 	return q, response{}
 }
 
+// routePath returns the path of a request as the caller sent it, which selects the
+// route.
+func routePath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // headerSize returns the size of the request line and the header in bytes.
 func headerSize(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(" HTTP/1.1\r\n") + 1 + len("Host: \r\n") + len(r.Host)
@@ -206,8 +223,11 @@
 	return nil
 }
 
-// run places and sends the request until there is a response.
-func (q *request) run(ctx context.Context) response {
+// run places and sends the request until there is a response. The context of the
+// attempts lives until cancelAttempts is called.
+func (q *request) run() response {
+	ctx, cancel := context.WithDeadline(q.incoming.Context(), q.deadline)
+	q.cancels = append(q.cancels, cancel)
 	for {
 		outcome := q.place(ctx, false)
 		granted, ok := outcome.(wagowner.Granted)
--- a/waggateway/response.go
+++ b/waggateway/response.go
@@ -35,10 +35,11 @@
 	}
 }
 
-// writeResponse writes the response to the caller.
-func (g *Gateway) writeResponse(w http.ResponseWriter, r *http.Request, resp response) {
+// writeResponse writes the response to the caller. closing says that the connection
+// closes after it.
+func (g *Gateway) writeResponse(w http.ResponseWriter, r *http.Request, resp response, closing bool) {
 	h := w.Header()
-	if g.shuttingDown.Load() || r.Close {
+	if closing {
 		h.Set("Connection", "close")
 	}
 	if resp.upstream == nil {
--- a/waggateway/serve.go
+++ b/waggateway/serve.go
@@ -55,15 +55,17 @@
 	defer func() { err = errors.WithMessage(err, "serve callers") }()
 	conns := newConnTracker()
 	server := &http.Server{
-		Handler: g, MaxHeaderBytes: maxHeaderBytes,
+		Handler: g, MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext,
 		ConnState: func(c net.Conn, s http.ConnState) { conns.setState(g.clock.Now(), c, s) },
 	}
 	group, runCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		if err := server.Serve(l); !errors.Is(err, net.ErrClosed) || !g.shuttingDown.Load() {
-			return err
+		err := server.Serve(callerListener{Listener: l, gateway: g})
+		// The shutdown closes the listener first, and then the server.
+		if g.shuttingDown.Load() && (errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed)) {
+			return nil
 		}
-		return nil
+		return err
 	})
 	for wagclock.Wait(runCtx, g.clock, g.clock.Now().Add(unusedCheckInterval)) {
 		header, idle := g.timeouts()
