wagroster, wagmesh, wagsync: Start hundreds of hosts without a storm

Cause, found by a profile of 474 hosts on virtual time (20.8 s of real time, 42 s of processor, 61% in wagroster): the relay of a data centre was selected again among all members for each member of each message of each link. A link that opens at a seed cost 473 selections. All hosts dialled the same seed first. Each host read all objects from the store unless it had them after 50 to 100 ms: 412 requests for one kind.

Change: a roster keeps the members by data centre and selects hosts again only when those have changed. Hosts begin with different seeds; a leader dials the others for the first 3 s, so that hosts which found each other through different seeds become one site. A host that knows the relay of its data centre, or is connecting to another host, waits up to 300 ms for the objects. An update is encoded once for all peers that need it.

--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -434,7 +434,7 @@
 		if !behind {
 			continue
 		}
-		u, err := updateMessage(l.mesh.sync.UpdateSince(kind, known))
+		u, err := l.mesh.encodedUpdate(kind, known)
 		if err != nil {
 			l.mesh.log.WithError(err).Warning("cannot encode an update for another host")
 			continue
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -20,6 +20,8 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
+	"github.com/wagtailspar/wagtailspar/waglease"
+	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagroster"
 	"github.com/wagtailspar/wagtailspar/wagsync"
@@ -43,8 +45,10 @@
 	// seedDialInterval is the interval at which seeds are dialled while this host has
 	// no link. An attempt takes up to 11 ms within a region.
 	seedDialInterval = 100 * time.Millisecond
-	// leaderSeedDialInterval is the interval at which the leader dials seeds.
+	// leaderSeedDialInterval is the interval at which the leader dials seeds, except for
+	// startupDialDuration after its start.
 	leaderSeedDialInterval = 10 * time.Second
+	startupDialDuration    = 3 * time.Second
 	// storeReadTimeout is how long a starting host tries to read all objects from the
 	// store before it receives them from another data centre.
 	storeReadTimeout = 3 * time.Second
@@ -102,12 +106,30 @@
 	startedAt time.Time
 	// inboundLinks counts the open links that other hosts opened.
 	inboundLinks int
-	// nextSeedIndex counts the seeds that were dialled; modulo the number of seeds, it
-	// is the index of the next one. nextSeedDial is when that may be dialled.
+	// nextSeedIndex, modulo the number of seeds, is the index of the seed that is dialled
+	// next. nextSeedDial is when it may be dialled.
 	nextSeedIndex int
 	nextSeedDial  time.Time
+
+	encodeMu sync.Mutex
+	// encodedUpdates holds the latest updates that were sent. Most peers need the same
+	// ones. Updates do not change after they were encoded.
+	encodedUpdates map[updateKey]*Update
+}
+
+// updateKey identifies the changes of a kind after one revision up to another.
+type updateKey struct {
+	kind      string
+	since, at wagmirror.Revision
 }
 
+const (
+	// maxSeedIndex bounds the first value of nextSeedIndex.
+	maxSeedIndex = 1 << 16
+	// maxEncodedUpdates bounds the updates that are kept.
+	maxEncodedUpdates = 8
+)
+
 // dialState is the state of dialling one address.
 type dialState struct {
 	inProgress bool
@@ -139,6 +161,8 @@
 	m := &Mesh{
 		clock: wagclock.System{}, log: logrus.StandardLogger(), sync: s, owner: o, seeds: func() []netip.AddrPort { return nil },
 		dial: dialTCP, self: self, roster: wagroster.New(self), links: make(map[string][]*link), dialStates: make(map[netip.AddrPort]*dialState),
+		// Hosts that start together begin with different seeds.
+		nextSeedIndex: int(waglease.Score("seed", self.Name) % maxSeedIndex), encodedUpdates: make(map[updateKey]*Update),
 	}
 	for _, option := range opts {
 		option(m)
@@ -164,6 +188,7 @@
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	m.group, m.ctx = errgroup.WithContext(ctx)
 	m.startedAt = m.clock.Now()
+	m.sync.SetExpectation(m.expectsObjects)
 	m.group.Go(func() error {
 		err := server.Serve(m.ctx, l)
 		if ctx.Err() != nil || m.ctx.Err() != nil {
@@ -247,6 +272,23 @@
 	m.sync.SetFollowing(m.ctx, m.mustFollow(now, hasUpstream && !isBackup, rank))
 }
 
+// expectsObjects reports whether a host that has just started will probably receive the
+// objects of the store from another one: from the relay of its data centre, or from a
+// host that it is connecting to.
+func (m *Mesh) expectsObjects() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if relay, ok := m.roster.Relay(m.self.DataCentre); ok && relay.Name != m.self.Name {
+		return true
+	}
+	for _, d := range m.dialStates {
+		if d.inProgress && len(m.links) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // updateOwnStoreState checks whether this host or the leader is disconnected from the
 // store, and sends heartbeats at once when that changes; m.mu is held.
 func (m *Mesh) updateOwnStoreState(now time.Time) {
@@ -311,17 +353,18 @@
 }
 
 // dialNextSeed dials the seeds in turn while this host has no link. The leader continues
-// at a longer interval, because it might be the leader of only a part of the site. Seeds
-// may be out of date, and most are in other data centres; m.mu is held.
+// at a longer interval, because it might be the leader of only a part of the site: hosts
+// that start together find each other through different seeds. Seeds may be out of date,
+// and most are in other data centres; m.mu is held.
 func (m *Mesh) dialNextSeed(now time.Time, isLeader bool) {
-	if now.Before(m.nextSeedDial) || len(m.links) > 0 && (!isLeader || now.Before(m.nextSeedDial.Add(leaderSeedDialInterval))) {
+	if now.Before(m.nextSeedDial) || len(m.links) > 0 && (!isLeader || now.Before(m.nextSeedDial.Add(m.leaderDialInterval(now)))) {
 		return
 	}
 	seeds := m.seeds()
 	for range seeds {
 		seed := seeds[m.nextSeedIndex%len(seeds)]
 		m.nextSeedIndex++
-		if seed != m.self.Address {
+		if seed != m.self.Address && !m.hasLinkTo(seed) {
 			m.nextSeedDial = now.Add(seedDialInterval)
 			m.startDial(now, seed)
 			return
@@ -329,6 +372,24 @@
 	}
 }
 
+// leaderDialInterval returns the interval at which the leader dials seeds.
+func (m *Mesh) leaderDialInterval(now time.Time) time.Duration {
+	if now.Before(m.startedAt.Add(startupDialDuration)) {
+		return seedDialInterval
+	}
+	return leaderSeedDialInterval
+}
+
+// hasLinkTo reports whether a link to an address is open; m.mu is held.
+func (m *Mesh) hasLinkTo(address netip.AddrPort) bool {
+	for _, list := range m.links {
+		if len(list) > 0 && list[0].peer.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // updateUpstream subscribes to the changes at the upstream host and unsubscribes at all
 // others; m.mu is held.
 func (m *Mesh) updateUpstream(now time.Time, upstream wagroster.Member, hasUpstream bool) {
@@ -476,9 +537,30 @@
 // host.
 func (m *Mesh) PushChanges() {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	links := m.allLinks()
+	m.mu.Unlock()
 	complete := m.sync.CompleteRevisions()
-	for _, l := range m.allLinks() {
+	for _, l := range links {
 		l.pushUpdates(complete)
 	}
 }
+
+// encodedUpdate returns the message with the changes of a kind after a revision.
+func (m *Mesh) encodedUpdate(kind string, since wagmirror.Revision) (*Update, error) {
+	u := m.sync.UpdateSince(kind, since)
+	key := updateKey{kind: kind, since: since, at: u.At}
+	m.encodeMu.Lock()
+	defer m.encodeMu.Unlock()
+	if message, ok := m.encodedUpdates[key]; ok {
+		return message, nil
+	}
+	message, err := updateMessage(u)
+	if err != nil {
+		return nil, err
+	}
+	if len(m.encodedUpdates) >= maxEncodedUpdates {
+		clear(m.encodedUpdates)
+	}
+	m.encodedUpdates[key] = message
+	return message, nil
+}
--- a/wagroster/wagroster.go
+++ b/wagroster/wagroster.go
@@ -43,10 +43,27 @@
 type Roster struct {
 	self    Member
 	members map[string]*entry
+	// dataCentres holds the members of each data centre.
+	dataCentres map[string]*dataCentre
+	// unreachable holds the members with failures, by name.
+	unreachable map[string]*entry
 	// selfStore is the store state of this host.
 	selfStore storeState
 }
 
+// dataCentre holds the members of one data centre.
+type dataCentre struct {
+	// members holds the other hosts, by name.
+	members map[string]*entry
+	// owners holds the selected hosts by role. It is nil when the members have changed
+	// since.
+	owners map[string]Member
+	// candidates holds the members that can have roles, and standbyRank the rank of this
+	// host in its own data centre. Both are valid unless owners is nil.
+	candidates  []Member
+	standbyRank int
+}
+
 // storeState records whether a host is disconnected from the store.
 type storeState struct {
 	// disconnectedSince is when the host was first reported as disconnected, and
@@ -69,14 +86,57 @@
 
 // New returns a roster that contains only this host.
 func New(self Member) *Roster {
-	return &Roster{self: self, members: make(map[string]*entry)}
+	r := &Roster{self: self, members: make(map[string]*entry), dataCentres: make(map[string]*dataCentre), unreachable: make(map[string]*entry)}
+	r.dataCentre(self.DataCentre)
+	return r
+}
+
+// dataCentre returns a data centre and adds it if it is not known.
+func (r *Roster) dataCentre(name string) *dataCentre {
+	d, ok := r.dataCentres[name]
+	if !ok {
+		d = &dataCentre{members: make(map[string]*entry)}
+		r.dataCentres[name] = d
+	}
+	return d
+}
+
+// set replaces what is known of a member. The selected hosts of its data centre are
+// selected again.
+func (r *Roster) set(e *entry, m Member) {
+	if e.DataCentre != m.DataCentre {
+		if old, ok := r.dataCentres[e.DataCentre]; ok {
+			delete(old.members, m.Name)
+			old.owners = nil
+		}
+	}
+	e.Member = m
+	d := r.dataCentre(m.DataCentre)
+	d.members[m.Name] = e
+	d.owners = nil
+}
+
+// setFailures sets the failed attempts in a row to reach a member.
+func (r *Roster) setFailures(e *entry, failures int) {
+	if (e.failures == 0) != (failures == 0) {
+		r.dataCentre(e.DataCentre).owners = nil
+	}
+	e.failures = failures
+	if failures == 0 {
+		delete(r.unreachable, e.Name)
+	} else {
+		r.unreachable[e.Name] = e
+	}
 }
 
 // Self returns this host.
 func (r *Roster) Self() Member { return r.self }
 
 // Leave marks this host as leaving.
-func (r *Roster) Leave() { r.self.Leaving = true }
+func (r *Roster) Leave() {
+	r.self.Leaving = true
+	r.dataCentre(r.self.DataCentre).owners = nil
+}
 
 // UpdateFromMember updates a member from its own report, which replaces the reports of
 // others and shows that it is reachable. It reports whether anything changed.
@@ -93,9 +153,12 @@
 		r.members[m.Name] = e
 	}
 	changed := e.Member != m
-	e.Member = m
+	if changed {
+		r.set(e, m)
+	}
 	if !m.Leaving {
-		e.failures, e.nextRetry = 0, time.Time{}
+		r.setFailures(e, 0)
+		e.nextRetry = time.Time{}
 	}
 	return changed
 }
@@ -114,9 +177,10 @@
 			r.members[m.Name] = e
 		}
 		if m.Generation != e.Generation {
-			e.failures, e.nextRetry = 0, time.Time{}
+			r.setFailures(e, 0)
+			e.nextRetry = time.Time{}
 		}
-		e.Member = m
+		r.set(e, m)
 		changed = true
 	}
 	return changed
@@ -130,13 +194,13 @@
 		return
 	}
 	e.nextRetry = now.Add(min(firstRetryDelay<<min(e.failures, 8), maxRetryDelay))
-	e.failures++
+	r.setFailures(e, e.failures+1)
 }
 
 // DueRetries returns the unreachable members that are due to be tried again.
 func (r *Roster) DueRetries(now time.Time) (list []Member) {
-	for _, e := range r.members {
-		if e.failures > 0 && !e.Leaving && !now.Before(e.nextRetry) {
+	for _, e := range r.unreachable {
+		if !e.Leaving && !now.Before(e.nextRetry) {
 			list = append(list, e.Member)
 		}
 	}
@@ -173,9 +237,41 @@
 // Owner returns the member of a data centre that has a role: RoleRelay, or the owner of
 // the group of the service with that name. It returns false when no member can have
 // it. Rendezvous hashing moves only the roles of a member that leaves.
-func (r *Roster) Owner(role, dataCentre string) (owner Member, ok bool) {
-	candidates := r.candidates(dataCentre)
-	key := role + "/" + dataCentre
+func (r *Roster) Owner(role, dataCentreName string) (owner Member, ok bool) {
+	d, known := r.dataCentres[dataCentreName]
+	if !known {
+		return Member{}, false
+	}
+	r.refresh(dataCentreName, d)
+	owner, ok = d.owners[role]
+	if !ok {
+		owner, ok = selectOwner(role+"/"+dataCentreName, d.candidates)
+		if ok && len(d.owners) < maxRoles {
+			d.owners[role] = owner
+		}
+	}
+	return owner, ok
+}
+
+// refresh selects the candidates of a data centre again if its members have changed.
+func (r *Roster) refresh(name string, d *dataCentre) {
+	if d.owners != nil {
+		return
+	}
+	d.owners, d.candidates, d.standbyRank = make(map[string]Member), r.selectCandidates(name, d), 0
+	score := waglease.Score(RoleRelay, r.self.Name)
+	for _, e := range d.members {
+		if !e.Leaving && e.failures == 0 && waglease.Score(RoleRelay, e.Name) > score {
+			d.standbyRank++
+		}
+	}
+}
+
+// maxRoles bounds the roles whose hosts are remembered for a data centre.
+const maxRoles = 1024
+
+// selectOwner returns the candidate with the highest score for a key.
+func selectOwner(key string, candidates []Member) (owner Member, ok bool) {
 	var best uint64
 	for _, m := range candidates {
 		score := waglease.Score(key, m.Name)
@@ -186,20 +282,19 @@
 	return owner, ok
 }
 
-// candidates returns the members of a data centre that can have roles.
-func (r *Roster) candidates(dataCentre string) []Member {
-	// The capacity fits the usual number of hosts of a data centre, so that append
-	// does not allocate.
-	list := make([]Member, 0, 40)
+// selectCandidates returns the members of a data centre that can have roles.
+func (r *Roster) selectCandidates(name string, d *dataCentre) (list []Member) {
 	maxCores := 0
 	addCandidate := func(m Member) {
-		if m.DataCentre == dataCentre && !m.Leaving {
+		if !m.Leaving {
 			list = append(list, m)
 			maxCores = max(maxCores, m.MilliCores)
 		}
 	}
-	addCandidate(r.self)
-	for _, e := range r.members {
+	if r.self.DataCentre == name {
+		addCandidate(r.self)
+	}
+	for _, e := range d.members {
 		if e.failures == 0 {
 			addCandidate(e.Member)
 		}
@@ -209,14 +304,10 @@
 
 // StandbyRank returns how many members of the data centre precede this host in the
 // order in which they take over from the relay.
-func (r *Roster) StandbyRank() (rank int) {
-	score := waglease.Score(RoleRelay, r.self.Name)
-	for _, e := range r.members {
-		if e.DataCentre == r.self.DataCentre && !e.Leaving && e.failures == 0 && waglease.Score(RoleRelay, e.Name) > score {
-			rank++
-		}
-	}
-	return rank
+func (r *Roster) StandbyRank() int {
+	d := r.dataCentre(r.self.DataCentre)
+	r.refresh(r.self.DataCentre, d)
+	return d.standbyRank
 }
 
 // RoleRelay is the role of the host that passes the changes of the store on to the
@@ -348,13 +439,10 @@
 }
 
 // DataCentres returns the data centres that have members, in alphabetical order.
-func (r *Roster) DataCentres() []string {
-	seen := map[string]bool{r.self.DataCentre: true}
-	list := []string{r.self.DataCentre}
-	for _, e := range r.members {
-		if !seen[e.DataCentre] {
-			seen[e.DataCentre] = true
-			list = append(list, e.DataCentre)
+func (r *Roster) DataCentres() (list []string) {
+	for name, d := range r.dataCentres {
+		if name == r.self.DataCentre || len(d.members) > 0 {
+			list = append(list, name)
 		}
 	}
 	slices.Sort(list)
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -39,6 +39,9 @@
 	// that a host that starts slightly later receives the objects from the first one.
 	// Asking a seed and then a host of the own data centre takes 20 to 50 ms.
 	firstReadDelay = 50 * time.Millisecond
+	// maxExpectationDelay bounds how long after the start a host waits for objects that
+	// it expects from another one. Requests wait for them a little longer.
+	maxExpectationDelay = 300 * time.Millisecond
 	// maxFirstReadDelay bounds the delay before the first read is retried.
 	maxFirstReadDelay = 400 * time.Millisecond
 	// pingInterval is the time between two pings of the store by a disconnected host
@@ -83,6 +86,9 @@
 	storeRevision wagmirror.Revision
 	// peerConfirmed is when the copy was last complete according to another host.
 	peerConfirmed time.Time
+	// expectsObjects reports whether another host will probably send the objects, so that
+	// the first read of the store can wait.
+	expectsObjects func() bool
 	// disconnected means that this host does not reach the store. While the host does
 	// not follow the store, it stays set until a ping succeeds.
 	disconnected bool
@@ -122,6 +128,7 @@
 	s := &Sync{
 		store: store, clock: wagclock.System{}, log: logrus.StandardLogger(), onChange: onChange,
 		followingStarted: make(chan struct{}), mirror: wagmirror.New(kinds...), kinds: make(map[string]*kindState), primaryKind: kinds[0],
+		expectsObjects: func() bool { return false },
 	}
 	for _, kind := range kinds {
 		s.kinds[kind] = &kindState{}
@@ -155,6 +162,30 @@
 	s.log.Info("this host follows the store")
 }
 
+// SetExpectation sets the function that reports whether another host will probably send
+// the objects to this one, which has just started.
+func (s *Sync) SetExpectation(expectsObjects func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expectsObjects = expectsObjects
+}
+
+// awaitPeers waits after the start until the objects have to be read from the store:
+// for firstReadDelay, and longer while other hosts are expected to send them.
+func (s *Sync) awaitPeers(ctx context.Context) {
+	start := s.clock.Now()
+	next := start.Add(firstReadDelay + rand.N(firstReadDelay))
+	for wagclock.Wait(ctx, s.clock, next) && next.Before(start.Add(maxExpectationDelay)) && s.HasUnreadKinds() {
+		s.mu.Lock()
+		expectsObjects := s.expectsObjects
+		s.mu.Unlock()
+		if !expectsObjects() {
+			return
+		}
+		next = next.Add(firstReadDelay)
+	}
+}
+
 // Run follows the store while SetFollowing says so, until ctx ends.
 func (s *Sync) Run(ctx context.Context) error {
 	var g errgroup.Group
@@ -182,7 +213,8 @@
 // readAtStart reads the objects once after a start, unless other hosts have sent them by
 // then. When all hosts of a site start together, no host has them.
 func (s *Sync) readAtStart(ctx context.Context) {
-	next := s.clock.Now().Add(firstReadDelay + rand.N(firstReadDelay))
+	s.awaitPeers(ctx)
+	next := s.clock.Now()
 	for wagclock.Wait(ctx, s.clock, next) && !s.IsFollowing() {
 		unread := s.unreadKinds()
 		if len(unread) == 0 {
--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -377,3 +377,34 @@
 		is.Equal(x.sync.ConfirmedAt(), now)
 	})
 }
+
+// Guards against hosts that all read the store when they start together, although one of
+// them passes the objects on, and against one that waits for objects that do not come.
+func TestFirstReadWaitsForExpectedObjects(t *testing.T) {
+	t.Run("they arrive", func(t *testing.T) {
+		run(t, func(is *is.I, x *fixture) {
+			x.sync.SetExpectation(func() bool { return true })
+			sleep(2 * firstReadDelay)
+			for _, kind := range []string{"config", "servers"} {
+				x.sync.Apply(wagmirror.Update{Kind: kind, Full: true, At: 1})
+			}
+			sleep(5 * time.Second)
+			is.Equal(x.store.lists, 0)
+		})
+	})
+	t.Run("they do not", func(t *testing.T) {
+		run(t, func(is *is.I, x *fixture) {
+			x.sync.SetExpectation(func() bool { return true })
+			sleep(maxExpectationDelay - firstReadDelay)
+			is.Equal(x.store.lists, 0)
+			sleep(3 * firstReadDelay)
+			is.Equal(x.store.lists, 2)
+		})
+	})
+	t.Run("none expected", func(t *testing.T) {
+		run(t, func(is *is.I, x *fixture) {
+			sleep(2 * firstReadDelay)
+			is.Equal(x.store.lists, 2)
+		})
+	})
+}
