wagclock, wagentry: End requests by the clock of the host

Cause: a request ended by a deadline of real time whatever clock the host had, so that TestCancellation and TestSlowCaller raced their deadline of 50 ms, and the cleanup of TestCancellation waited for a request that had never started.

Change: wagclock.WithDeadline ends a context by a Clock; wagentry uses it. What they assert is unchanged.

--- a/wagclock/wagclock.go
+++ b/wagclock/wagclock.go
@@ -5,6 +5,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // MaxSkew is the largest difference between the clocks of any two hosts or servers
@@ -32,6 +34,38 @@
 	}
 }
 
+// WithDeadline returns a context that ends with context.DeadlineExceeded when the clock
+// reaches the deadline. The cancel function has to be called.
+func WithDeadline(parent context.Context, c Clock, deadline time.Time) (context.Context, context.CancelFunc) {
+	if _, isSystem := c.(System); isSystem {
+		return context.WithDeadline(parent, deadline)
+	}
+	ctx, cancel := context.WithCancelCause(parent)
+	var g errgroup.Group
+	g.Go(func() error {
+		if Wait(ctx, c, deadline) {
+			cancel(context.DeadlineExceeded)
+		}
+		return nil
+	})
+	return clockContext{ctx}, func() {
+		cancel(nil)
+		_ = g.Wait() // always nil
+	}
+}
+
+// clockContext is a context whose deadline is a time of a Clock.
+type clockContext struct{ context.Context }
+
+// Err returns why the context has ended.
+func (c clockContext) Err() error {
+	err := c.Context.Err()
+	if err != nil && context.Cause(c.Context) == context.DeadlineExceeded {
+		return context.DeadlineExceeded
+	}
+	return err
+}
+
 // Earlier returns the earlier one of two times.
 func Earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
--- a/wagclock/wagclock_test.go
+++ b/wagclock/wagclock_test.go
@@ -1,6 +1,7 @@
 package wagclock
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -25,3 +26,23 @@
 	m.Advance(time.Hour)
 	is.Equal(len(due), 0)
 }
+
+// Guards against a context that ends early, never, or for another reason than its
+// deadline.
+func TestWithDeadline(t *testing.T) {
+	is := is.New(t)
+	m := NewManual(time.Unix(100, 0))
+	ctx, cancel := WithDeadline(context.Background(), m, time.Unix(101, 0))
+	defer cancel()
+	m.Advance(999 * time.Millisecond)
+	is.NoErr(ctx.Err())
+	m.Advance(time.Millisecond)
+	<-ctx.Done()
+	is.Equal(ctx.Err(), context.DeadlineExceeded)
+	ctx, cancel = WithDeadline(context.Background(), m, time.Unix(200, 0))
+	cancel()
+	is.Equal(ctx.Err(), context.Canceled)
+	ctx, cancel = WithDeadline(context.Background(), System{}, time.Unix(100, 0))
+	defer cancel()
+	is.Equal(ctx.Err(), context.DeadlineExceeded)
+}
--- a/wagentry/caller.go
+++ b/wagentry/caller.go
@@ -121,7 +121,7 @@
 	if p.incoming.ContentLength > p.document.Limits.BodyBytes {
 		return p.proxy.refuse(c, p, wagoutcome.ReasonTooLarge)
 	}
-	p.ctx, p.release = context.WithDeadline(p.incoming.Context(), p.deadline)
+	p.ctx, p.release = wagclock.WithDeadline(p.incoming.Context(), p.proxy.clock, p.deadline)
 	defer func() { p.release() }()
 	defer p.boundCallerIO(c.Response())()
 	p.recordEvent(wagevent.KindRequest, "", "")
--- a/wagentry/caller_test.go
+++ b/wagentry/caller_test.go
@@ -206,25 +206,27 @@
 func TestCancellation(t *testing.T) {
 	is := is.New(t)
 	started, ended := make(chan struct{}), make(chan struct{})
+	clock := wagclock.NewManual(time.Now())
 	address := startServer(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		started <- struct{}{}
+		signal(t, started)
 		<-r.Context().Done()
-		ended <- struct{}{}
+		signal(t, ended)
 	}))
-	h := newTestHost(t, "a", "", liveServers(address))
+	h := newTestHost(t, "a", "", liveServers(address), WithClock(clock))
 	ctx, cancel := context.WithCancel(context.Background())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.caller+"/lots/x", nil)
 	is.NoErr(err)
 	runInBackground(t, func() {
-		<-started
+		await(t, started)
 		cancel()
-		<-ended
-		<-started
-		<-ended
+		await(t, ended)
+		await(t, started)
+		clock.Advance(time.Minute)
+		await(t, ended)
 	})
 	_, err = http.DefaultTransport.RoundTrip(req)
 	is.True(err != nil)
-	deadline := time.Now().Add(50 * time.Millisecond).Format(time.RFC3339Nano)
+	deadline := clock.Now().Add(time.Minute).Format(time.RFC3339Nano)
 	resp, _, err := doRequest(t, "GET", h.caller, "/lots/x", "", wagoutcome.DeadlineHeader, deadline)
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
@@ -232,12 +234,37 @@
 	is.Equal(resp.Header.Get(wagoutcome.ReasonHeader), "deadline")
 }
 
+// signal sends on a channel unless the test ends before.
+func signal(t *testing.T, c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	case <-t.Context().Done():
+	}
+}
+
+// await receives from a channel unless the test ends before.
+func await(t *testing.T, c <-chan struct{}) {
+	select {
+	case <-c:
+	case <-t.Context().Done():
+	}
+}
+
 // Guards against callers that hold a slot beyond the deadline by sending slowly.
 func TestSlowCaller(t *testing.T) {
 	is := is.New(t)
-	address := startServer(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
-	h := newTestHost(t, "a", "", liveServers(address))
-	deadline := time.Now().Add(50 * time.Millisecond).Format(time.RFC3339Nano)
+	started := make(chan struct{})
+	clock := wagclock.NewManual(time.Now())
+	address := startServer(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		signal(t, started)
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	h := newTestHost(t, "a", "", liveServers(address), WithClock(clock))
+	runInBackground(t, func() {
+		await(t, started)
+		clock.Advance(time.Minute)
+	})
+	deadline := clock.Now().Add(time.Minute).Format(time.RFC3339Nano)
 	response := sendRaw(t, h.caller, "POST /lots/x HTTP/1.1\r\nHost: x\r\nContent-Length: 90\r\nWagtailspar-Deadline: "+deadline+"\r\n\r\nhalf")
 	is.True(strings.HasPrefix(response, "HTTP/1.1 504"))
 	is.True(strings.Contains(response, "Wagtailspar-Outcome: unknown\r\n"))
