wagplacement: Do not exclude a full server that resets connections

Cause: servers of some services reset the connection when they are full. Each reset counted as a failure, which excludes the server for 0.3 s and twice as long each time, although it answers its other requests.

Change: a broken or refused connection while all slots were taken, by own counts or by a report of the last 100 ms, keeps the server from getting requests for 100 ms and counts as no failure. A server that breaks connections below that is excluded as before.

TestResetOfFullServer failed before: the server was excluded after 100 ms.

--- a/wagplacement/scheduler_test.go
+++ b/wagplacement/scheduler_test.go
@@ -579,3 +579,34 @@
 	}
 	is.Equal(g.probes, 1)
 }
+
+// Guards against a healthy server that is excluded for a growing time because it resets
+// connections while all its slots are taken, and against a crashed one that is not
+// excluded because it was full.
+func TestResetOfFullServer(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, 6)
+	report := func(running int) Result {
+		return Result{Fault: FaultOvertaken, HasReport: true, Report: Report{Running: running + 1, Slots: 6, Slowness: 1}}
+	}
+	for range 5 {
+		first, second := g.submit(nil), g.submit(nil)
+		g.scheduler.FinishAttempt(g.now, first, report(6))
+		g.scheduler.FinishAttempt(g.now, second, Result{Fault: FaultBroken})
+		g.executeCommands()
+		is.True(!g.scheduler.servers["s0"].isUsable(g.now, nil))
+		g.advance(resetCooldown)
+		is.True(g.scheduler.servers["s0"].isUsable(g.now, nil))
+	}
+	is.Equal(g.scheduler.servers["s0"].failures, 0)
+	var ids []RequestID
+	for range 3 {
+		ids = append(ids, g.submit(nil))
+	}
+	g.scheduler.servers["s0"].report = Report{Running: 1, Slots: 6, Slowness: 1}
+	for _, id := range ids {
+		g.finish(id, FaultBroken)
+	}
+	is.True(g.scheduler.servers["s0"].failures > 0)
+	is.True(g.scheduler.servers["s0"].isExcluded(g.now))
+}
--- a/wagplacement/servers.go
+++ b/wagplacement/servers.go
@@ -31,6 +31,9 @@
 	// rejectCooldown is how long a server gets no requests after it rejected one as
 	// full, and how long the counts in its load reports are used.
 	rejectCooldown = 20 * time.Millisecond
+	// resetCooldown is how long a full server gets no requests after it broke a
+	// connection, and how long a report shows that it is full.
+	resetCooldown = 100 * time.Millisecond
 	// stuckFactor is the multiple of the expected latency from which a request counts as
 	// stuck. About 3 in 100 requests take seven times as long as the others.
 	stuckFactor = 4
@@ -227,11 +230,26 @@
 		if !s.respondedAt.After(g.grantedAt) {
 			s.recordFailure(now)
 		}
+	case FaultConnect, FaultBroken:
+		if s.wasFull(now) {
+			// Some servers reset connections when they are full.
+			s.rejectedUntil = now.Add(resetCooldown)
+			return
+		}
+		s.recordFailure(now)
 	default:
 		s.recordFailure(now)
 	}
 }
 
+// wasFull reports whether all slots of the server were taken while the request ran that
+// has just been removed from it: by the requests of this scheduler, or by a recent
+// report.
+func (s *server) wasFull(now time.Time) bool {
+	isReported := !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= resetCooldown
+	return s.running+1 >= s.Slots || isReported && s.report.Running+s.report.Waiting >= s.Slots
+}
+
 // updateLatencyRatio adds the latency ratio of a request to the moving average.
 func (s *server) updateLatencyRatio(now time.Time, ratio float64) {
 	if s.disabled[MechanismPace] {
