waggateway: Bound the bodies in memory of all requests

Cause: each request kept up to 256 KB of its body; some hundred uploads at a time could fill the memory of a small host.

Change: all bodies together may take 32 MB. A body beyond that is kept up to 4 KB and streamed, and its request is not sent to a second server.

TestUploadsAreBounded shows that such an upload arrives whole and that the memory is given back.

--- a/waggateway/gateway_test.go
+++ b/waggateway/gateway_test.go
@@ -345,3 +345,22 @@
 		})
 	}
 }
+
+// Guards against uploads that together fill the memory of a host, against one that is
+// not served because of that, and against memory that stays reserved.
+func TestUploadsAreBounded(t *testing.T) {
+	is := is.New(t)
+	a, b := newTestServer(t, "a", responseOK), newTestServer(t, "b", responseOK)
+	f := newFixture(t, a, a, b)
+	body := strings.Repeat("x", 100<<10)
+	resp, _ := f.send(t, http.MethodPost, "/commit/1", strings.NewReader(body))
+	is.Equal(resp.StatusCode, 200)
+	f.gateway.bufferedBodies.Add(maxBufferedBodies - 1)
+	resp, _ = f.send(t, http.MethodPost, "/commit/2", strings.NewReader(body))
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(a.bodies, []string{body, body})
+	resp, _ = f.send(t, http.MethodPost, "/commit/3", strings.NewReader("short"))
+	is.Equal(resp.StatusCode, 200)
+	f.server.Close() // waits for the handlers
+	is.Equal(f.gateway.bufferedBodies.Load(), int64(maxBufferedBodies-1))
+}
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -337,6 +337,7 @@
 	<-x.ended
 	if x.request != nil {
 		x.request.cancelAttempts()
+		x.request.releaseBody()
 	}
 	x.cancel()
 }
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -20,6 +20,11 @@
 	// maxBufferedBody is the size in bytes up to which a body is kept in memory, so
 	// that it can be sent again.
 	maxBufferedBody = 256 << 10
+	// maxBufferedBodies bounds the bodies in memory of all requests together. A body
+	// beyond that is kept up to minBufferedBody and streamed, so that its request cannot
+	// be sent to a second server.
+	maxBufferedBodies = 32 << 20
+	minBufferedBody   = 4 << 10
 	// dialTimeout bounds the wait for a connection to a server. A connect takes 1 ms
 	// plus the delay of the link; a lost packet is retransmitted only after a second.
 	dialTimeout = 150 * time.Millisecond
@@ -53,6 +58,8 @@
 	body          []byte
 	bodyRest      io.Reader
 	contentLength int64
+	// bodyReserved is the part of maxBufferedBodies that the request takes.
+	bodyReserved int64
 	// mayHaveRun reports whether a server may have run the request in an earlier
 	// attempt.
 	mayHaveRun bool
@@ -176,6 +183,7 @@
 		}
 	}
 	if rejection := q.readBody(config.Limits.BodyBytes); rejection != nil {
+		q.releaseBody()
 		return nil, *rejection
 	}
 	return q, response{}
@@ -207,7 +215,7 @@
 	}
 	var body bytes.Buffer
 	source := http.MaxBytesReader(nil, q.incoming.Body, limit)
-	_, err := io.CopyN(&body, source, maxBufferedBody)
+	_, err := io.CopyN(&body, source, q.reserveBody())
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
@@ -223,6 +231,29 @@
 	return nil
 }
 
+// reserveBody reserves memory for the body and returns how much of it may be kept.
+func (q *request) reserveBody() int64 {
+	size := int64(maxBufferedBody)
+	if length := q.incoming.ContentLength; length >= 0 && length < size {
+		size = length
+	}
+	if size <= minBufferedBody {
+		return maxBufferedBody
+	}
+	if q.gateway.bufferedBodies.Add(size) > maxBufferedBodies {
+		q.gateway.bufferedBodies.Add(-size)
+		return minBufferedBody
+	}
+	q.bodyReserved = size
+	return maxBufferedBody
+}
+
+// releaseBody gives the reserved memory back.
+func (q *request) releaseBody() {
+	q.gateway.bufferedBodies.Add(-q.bodyReserved)
+	q.bodyReserved = 0
+}
+
 // run places and sends the request until there is a response. The context of the
 // attempts lives until cancelAttempts is called.
 func (q *request) run() response {
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -76,6 +76,9 @@
 	configWaitUntil time.Time
 	shuttingDown    atomic.Bool
 	requestCounters sync.Map // route name to *atomic.Uint64, the number of its requests
+	// bufferedBodies is the memory in bytes that is reserved for bodies of requests, at
+	// most maxBufferedBodies.
+	bufferedBodies atomic.Int64
 }
 
 // Option sets a property of a Gateway.
