--- a/wagclock/wagclock.go
+++ b/wagclock/wagclock.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -60,7 +61,7 @@
 // Err returns why the context has ended.
 func (c clockContext) Err() error {
 	err := c.Context.Err()
-	if err != nil && context.Cause(c.Context) == context.DeadlineExceeded {
+	if err != nil && errors.Is(context.Cause(c.Context), context.DeadlineExceeded) {
 		return context.DeadlineExceeded
 	}
 	return err
