waggateway: Recover from a panic of a request that runs ahead

Cause: net/http recovers from panics of handlers, but a request that runs ahead of its turn runs in a goroutine of its own, where a panic would end the program.

Change: such a request is answered 502, which states nothing about its run, and the panic is logged. TestPanicOfPipelinedRequest ends the test binary without it.

--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -75,9 +75,9 @@
 	incoming *http.Request
 	cancel   context.CancelFunc
 	start    time.Time
-	// ended is closed when the fields below are set. request is nil when the request was
-	// not accepted.
-	ended    chan struct{}
+	// ended is closed when a request that runs ahead has a response; nil for others.
+	ended chan struct{}
+	// request is nil when the request was not accepted.
 	request  *request
 	response response
 }
@@ -307,18 +307,32 @@
 		return nil
 	}
 	x := g.newExecution(r.WithContext(c.ctx))
+	x.ended = make(chan struct{})
 	c.tasks.Go(func() error {
-		x.accept(g)
-		x.run()
+		x.runAhead(g)
 		return nil
 	})
 	return x
 }
 
+// runAhead executes the request. net/http recovers from a panic of a handler; here it
+// must not end the program either.
+func (x *execution) runAhead(g *Gateway) {
+	defer close(x.ended)
+	defer func() {
+		if cause := recover(); cause != nil {
+			g.log.WithField("panic", cause).Error("the execution of a request panicked")
+			x.response = response{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: "panic"}
+		}
+	}()
+	x.accept(g)
+	x.run()
+}
+
 // newExecution returns the execution of a request. accept and run have to follow.
 func (g *Gateway) newExecution(r *http.Request) *execution {
 	ctx, cancel := context.WithCancel(r.Context())
-	return &execution{incoming: r.WithContext(ctx), cancel: cancel, start: g.clock.Now(), ended: make(chan struct{})}
+	return &execution{incoming: r.WithContext(ctx), cancel: cancel, start: g.clock.Now()}
 }
 
 // accept checks the request and reads its body.
@@ -326,15 +340,21 @@
 
 // run places and sends an accepted request.
 func (x *execution) run() {
-	defer close(x.ended)
 	if x.request != nil {
 		x.response = x.request.run()
 	}
 }
 
+// await waits until the response is there.
+func (x *execution) await() {
+	if x.ended != nil {
+		<-x.ended
+	}
+}
+
 // release ends what still runs for the execution, after its response was written.
 func (x *execution) release() {
-	<-x.ended
+	x.await()
 	if x.request != nil {
 		x.request.cancelAttempts()
 		x.request.releaseBody()
--- a/waggateway/readahead_test.go
+++ b/waggateway/readahead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,9 @@
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
+
+	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagplacement"
 )
 
 // pipelineFixture is a gateway whose callers pipeline requests on one connection.
@@ -316,3 +320,27 @@
 		f.server.Close()
 	})
 }
+
+// panickingPlacer panics at the second request.
+type panickingPlacer struct{ *fakePlacer }
+
+func (p panickingPlacer) Place(ctx context.Context, service string, r wagplacement.Request) wagowner.Outcome {
+	if r.Name == "r2" {
+		panic("unexpected")
+	}
+	return p.fakePlacer.Place(ctx, service, r)
+}
+
+// Guards against one request that ends the program, with all others of the host.
+func TestPanicOfPipelinedRequest(t *testing.T) {
+	is := is.New(t)
+	a := newTestServer(t, "a", responseOK)
+	f := newPipelineFixture(t, a, a)
+	f.gateway.placer = panickingPlacer{f.placer}
+	f.write(get("/status/1", "r1") + get("/status/2", "r2") + get("/status/3", "r3"))
+	for n, want := range []int{200, 502, 200} {
+		status, id, _ := f.read()
+		is.Equal(status, want)
+		is.Equal(id, fmt.Sprint("r", n+1))
+	}
+}
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -113,7 +113,7 @@
 	// The execution is released after the response is written, because the rest of a long
 	// one is read meanwhile.
 	defer x.release()
-	<-x.ended
+	x.await()
 	g.observer.RequestEnded(g.requestResult(r, x))
 	closing := r.Close || x.incoming.Close || g.shuttingDown.Load() && (conn == nil || !conn.hasAhead())
 	g.writeResponse(w, r, x.response, closing)
