wagroster, wagmesh: Pass changes on in a tree within a data centre

Change: the members of a data centre are ranked, those that can have roles first; each host has up to 32 others below it, and its upstream host precedes it in rank. The rank replaces the separate order of standbys. A connect to another host may take 0.5 s instead of 1.5 s: a host whose upstream hosts are all lost has to try several of them in a row. In the tests' network, a connect to a host that has ended no longer succeeds by chance.

--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -88,6 +88,12 @@
 	if l == nil {
 		return nil, errRefused
 	}
+	select {
+	case <-l.closed:
+		// A queue with room must not accept a connection to a host that has ended.
+		return nil, errRefused
+	default:
+	}
 	a, b := newPair(n, from, to.Addr())
 	select {
 	case l.queue <- b:
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -20,8 +20,9 @@
 
 const (
 	// dialTimeout bounds opening a connection to another host. The longest round trip
-	// within a region takes 11 ms; a lost packet is sent again after 1 s.
-	dialTimeout = 1500 * time.Millisecond
+	// within a region takes 11 ms; a lost packet is sent again after 1 s. Several hosts
+	// in a row may have to be tried before a change has to be in force.
+	dialTimeout = 500 * time.Millisecond
 	// maxDialRetryDelay bounds the delay before a host is dialled again.
 	maxDialRetryDelay = 5 * time.Second
 	// maxPendingMessages bounds the messages that wait to be sent on a link. The link
--- a/wagmesh/scale_test.go
+++ b/wagmesh/scale_test.go
@@ -69,34 +69,80 @@
 	})
 }
 
+// subscribers returns the number of peers to which a host passes changes on.
+func (h *host) subscribers() (n int) {
+	h.mesh.mu.Lock()
+	defer h.mesh.mu.Unlock()
+	for _, l := range h.mesh.allLinks() {
+		l.mu.Lock()
+		if l.peerSubscribed {
+			n++
+		}
+		l.mu.Unlock()
+	}
+	return n
+}
+
+// Guards against a relay that passes changes on to all hosts of a large data centre
+// itself.
+func TestChangesSpreadInATree(t *testing.T) {
+	runSite(t, largeSiteHosts, largeSiteDataCentres, func(s *site) {
+		is := is.New(t)
+		sleep(5 * time.Second)
+		const maxChildren = 32
+		sum := 0
+		for _, h := range s.hosts {
+			n := h.subscribers()
+			// The leader also has the relays of the other data centres below it.
+			is.True(n <= maxChildren+len(largeSiteDataCentres)-1)
+			sum += n
+		}
+		is.Equal(sum, len(s.hosts)-1) // each host but the leader receives changes once
+	})
+}
+
 // Guards against a change that does not reach all hosts of a large site in time because
-// the hosts that pass it on are killed or fall silent at that moment.
-func TestLossOfAllRelaysOfLargeSite(t *testing.T) {
-	for name, lose := range map[string]func(s *site, h *host){
-		"killed": func(_ *site, h *host) { h.stop() },
-		"silent": func(s *site, h *host) { s.setSilent(h, true) },
+// the relays, or all hosts that pass it on, are killed or fall silent at that moment.
+func TestLossOfInnerHostsOfLargeSite(t *testing.T) {
+	killed := func(_ *site, h *host) { h.stop() }
+	silent := func(s *site, h *host) { s.setSilent(h, true) }
+	for name, x := range map[string]struct {
+		lose     func(s *site, h *host)
+		isSilent bool
+		// isLost selects the hosts that are lost by the hosts below them.
+		isLost func(h *host, isRelay bool) bool
+	}{
+		"relays killed": {killed, false, func(_ *host, isRelay bool) bool { return isRelay }},
+		"relays silent": {silent, true, func(_ *host, isRelay bool) bool { return isRelay }},
+		"all killed":    {killed, false, func(h *host, _ bool) bool { return h.subscribers() > 0 }},
+		"all silent":    {silent, true, func(h *host, _ bool) bool { return h.subscribers() > 0 }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runSite(t, largeSiteHosts, largeSiteDataCentres, func(s *site) {
 				is := is.New(t)
 				sleep(5 * time.Second)
-				var lost []*host
-				roster := s.hosts[0].mesh.roster
+				relays := make(map[string]bool)
 				for _, dataCentre := range largeSiteDataCentres {
-					relay, ok := roster.Relay(dataCentre)
+					relay, ok := s.hosts[0].mesh.roster.Relay(dataCentre)
 					is.True(ok)
-					h := s.findHost(relay.Name)
-					lost = append(lost, h)
-					lose(s, h)
+					relays[relay.Name] = true
+				}
+				var lost []*host
+				for _, h := range s.hosts {
+					if x.isLost(h, relays[h.member.Name]) {
+						lost = append(lost, h)
+					}
 				}
+				is.True(len(lost) >= len(largeSiteDataCentres))
 				for _, h := range lost {
+					x.lose(s, h)
 					s.remove(h)
 				}
 				at := s.store.put()
 				is.True(s.reachesAll(at, nil, largeSiteApplyDelay))
 				for _, h := range lost {
-					s.setSilent(h, false)
-					if name == "silent" {
+					if x.isSilent {
+						s.setSilent(h, false)
 						h.stop()
 					}
 				}
@@ -120,7 +166,7 @@
 			r.Relay(dataCentre)
 			r.Owner(testService, dataCentre)
 		}
-		r.StandbyRank()
+		r.Rank()
 	}), 0.0)
 	relay, _ := r.Relay("a")
 	r.MarkUnreachable(time.Unix(1, 0), relay.Name)
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -257,12 +257,7 @@
 	for _, member := range m.roster.DueRetries(now) {
 		m.startDial(now, member.Address)
 	}
-	relay, _ := m.roster.Relay(self.DataCentre)
-	// rank is 0 for the relay, and otherwise this host's position among the standbys.
-	rank := 0
-	if relay.Name != self.Name {
-		rank = 1 + m.roster.StandbyRank()
-	}
+	rank := m.roster.Rank()
 	m.updateOwnStoreState(now)
 	isBackup := m.isBackupFollower(now, rank)
 	for _, l := range m.allLinks() {
--- a/wagroster/wagroster.go
+++ b/wagroster/wagroster.go
@@ -58,10 +58,13 @@
 	// owners holds the selected hosts by role. It is nil when the members have changed
 	// since.
 	owners map[string]Member
-	// candidates holds the members that can have roles, and standbyRank the rank of this
-	// host in its own data centre. Both are valid unless owners is nil.
-	candidates  []Member
-	standbyRank int
+	// candidates holds the members that can have roles; valid unless owners is nil.
+	candidates []Member
+	// ranked holds the reachable members of the own data centre in the order in which they
+	// take over from the relay, and rank is the index of this host. Both are valid unless
+	// owners is nil.
+	ranked []Member
+	rank   int
 }
 
 // storeState records whether a host is disconnected from the store.
@@ -258,13 +261,42 @@
 	if d.owners != nil {
 		return
 	}
-	d.owners, d.candidates, d.standbyRank = make(map[string]Member), r.selectCandidates(name, d), 0
-	score := waglease.Score(RoleRelay, r.self.Name)
+	d.owners, d.candidates = make(map[string]Member), r.selectCandidates(name, d)
+	if name == r.self.DataCentre {
+		r.rankMembers(d)
+	}
+}
+
+// rankMembers orders the members of the own data centre: those that can have roles come
+// first, so that the hosts which pass changes on are strong ones. This host comes last
+// while it is leaving.
+func (r *Roster) rankMembers(d *dataCentre) {
+	key := RoleRelay + "/" + r.self.DataCentre
+	scores, isCandidate := make(map[string]uint64), make(map[string]bool)
+	d.ranked = append(d.ranked[:0], d.candidates...)
+	for _, m := range d.candidates {
+		isCandidate[m.Name] = true
+	}
 	for _, e := range d.members {
-		if !e.Leaving && e.failures == 0 && waglease.Score(RoleRelay, e.Name) > score {
-			d.standbyRank++
+		if !e.Leaving && e.failures == 0 && !isCandidate[e.Name] {
+			d.ranked = append(d.ranked, e.Member)
 		}
 	}
+	if !isCandidate[r.self.Name] && !r.self.Leaving {
+		d.ranked = append(d.ranked, r.self)
+	}
+	for _, m := range d.ranked {
+		scores[m.Name] = waglease.Score(key, m.Name)
+	}
+	byScore := func(a, b Member) int {
+		return cmp.Or(cmp.Compare(scores[b.Name], scores[a.Name]), cmp.Compare(a.Name, b.Name))
+	}
+	slices.SortFunc(d.ranked[:len(d.candidates)], byScore)
+	slices.SortFunc(d.ranked[len(d.candidates):], byScore)
+	if r.self.Leaving {
+		d.ranked = append(d.ranked, r.self)
+	}
+	d.rank = slices.IndexFunc(d.ranked, func(m Member) bool { return m.Name == r.self.Name })
 }
 
 // maxRoles bounds the roles whose hosts are remembered for a data centre.
@@ -302,14 +334,17 @@
 	return slices.DeleteFunc(list, func(m Member) bool { return float64(m.MilliCores) < minCoreShare*float64(maxCores) })
 }
 
-// StandbyRank returns how many members of the data centre precede this host in the
-// order in which they take over from the relay.
-func (r *Roster) StandbyRank() int {
+// Rank returns how many members of the data centre precede this host in the order in
+// which they take over from the relay, whose rank is 0.
+func (r *Roster) Rank() int {
 	d := r.dataCentre(r.self.DataCentre)
 	r.refresh(r.self.DataCentre, d)
-	return d.standbyRank
+	return d.rank
 }
 
+// maxChildren bounds the hosts of its data centre to which a host passes changes on.
+const maxChildren = 32
+
 // RoleRelay is the role of the host that passes the changes of the store on to the
 // others of its data centre.
 const RoleRelay = "relay"
@@ -424,13 +459,14 @@
 	return false
 }
 
-// Upstream returns the host from which this one receives the changes of the store: the
-// relay of its data centre or, for a relay, the leader. It returns false for the
-// leader.
+// Upstream returns the host from which this one receives the changes of the store. The
+// hosts of a data centre form a tree below its relay: each has up to maxChildren others
+// below it, and its upstream host precedes it in rank. Hosts that know different members
+// therefore form no circle. The relay receives changes from the leader; Upstream returns
+// false for the leader itself.
 func (r *Roster) Upstream(now time.Time) (Member, bool) {
-	relay, ok := r.Relay(r.self.DataCentre)
-	if ok && relay.Name != r.self.Name {
-		return relay, true
+	if rank := r.Rank(); rank > 0 {
+		return r.dataCentre(r.self.DataCentre).ranked[(rank-1)/maxChildren], true
 	}
 	if leader := r.Leader(now); leader.Name != r.self.Name {
 		return leader, true
