--- a/platform/prune.go
+++ b/wagjson/wagjson.go
@@ -1,15 +1,16 @@
-package platform
+// Package wagjson decodes JSON of writers that are not trusted.
+package wagjson
 
 import "encoding/json"
 
 // maxDepth is the nesting depth of arrays and objects that is kept of a text with
-// deeper ones. No object of the platform is nested half as deep.
+// deeper ones. No object of the platform's store is nested half as deep.
 const maxDepth = 32
 
-// unmarshalPruned decodes JSON like json.Unmarshal, but reads arrays and objects that
+// Unmarshal decodes JSON like json.Unmarshal, but reads arrays and objects that
 // are nested too deep as null. encoding/json rejects a whole text because of one such
 // value, and with it all other objects of a list.
-func unmarshalPruned(data []byte, v any) error {
+func Unmarshal(data []byte, v any) error {
 	err := json.Unmarshal(data, v)
 	if err == nil {
 		return nil
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"math"
-	"net"
-	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
-	"storj.io/drpc/drpcconn"
 
 	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
@@ -127,58 +124,6 @@
 	return m.runLink(ctx, l, in)
 }
 
-// runOutbound opens a link and runs it until it ends. When the dial fails, it delays
-// the next one and marks the host as unreachable.
-func (m *Mesh) runOutbound(to netip.AddrPort, d *dialState) {
-	err := m.dialAndRun(to, d)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	d.inProgress = false
-	if m.ctx.Err() != nil {
-		return
-	}
-	m.log.WithError(err).WithField("address", to).Debug("link to another host ended")
-	if d.failures == 0 {
-		return
-	}
-	d.nextAttempt = m.clock.Now().Add(min(dialRetryDelay*time.Duration(d.failures), maxDialRetryDelay))
-	for _, member := range m.roster.Members() {
-		if member.Address == to {
-			m.roster.MarkUnreachable(m.clock.Now(), member.Name)
-		}
-	}
-}
-
-// dialTCP opens a TCP connection to another host.
-func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return dialer.DialContext(ctx, "tcp", to.String())
-}
-
-// dialAndRun dials a host and runs the link until it ends.
-func (m *Mesh) dialAndRun(to netip.AddrPort, d *dialState) error {
-	netConn, err := m.dial(m.ctx, to)
-	m.mu.Lock()
-	if err != nil {
-		d.failures++
-	} else {
-		d.failures = 0
-	}
-	m.mu.Unlock()
-	if err != nil {
-		return err
-	}
-	conn := drpcconn.NewWithOptions(netConn, drpcconn.Options{Manager: managerOptions()})
-	defer func() { _ = conn.Close() }()
-	ctx, cancel := context.WithCancelCause(m.ctx)
-	defer cancel(nil)
-	s, err := NewDRPCMeshClient(conn).Link(ctx)
-	if err != nil {
-		return err
-	}
-	return m.runLink(ctx, m.newLink(cancel), s)
-}
-
 // runLink sends and receives frames until the link ends.
 func (m *Mesh) runLink(ctx context.Context, l *link, s stream) error {
 	m.mu.Lock()
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -21,7 +21,6 @@
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/waglease"
-	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagroster"
 	"github.com/wagtailspar/wagtailspar/wagsync"
@@ -117,28 +116,6 @@
 	encodedUpdates map[updateKey]*Update
 }
 
-// updateKey identifies the changes of a kind after one revision up to another.
-type updateKey struct {
-	kind      string
-	since, at wagmirror.Revision
-}
-
-const (
-	// maxSeedIndex bounds the first value of nextSeedIndex.
-	maxSeedIndex = 1 << 16
-	// maxEncodedUpdates bounds the updates that are kept.
-	maxEncodedUpdates = 8
-)
-
-// dialState is the state of dialling one address.
-type dialState struct {
-	inProgress bool
-	// nextAttempt is when the address may be dialled again.
-	nextAttempt time.Time
-	// failures counts the failed attempts in a row.
-	failures int
-}
-
 // Option sets a property of a Mesh.
 type Option func(*Mesh)
 
@@ -347,44 +324,6 @@
 	return now.Sub(confirmedAt) > relayFollowDelay+time.Duration(rank)*standbyFollowDelay
 }
 
-// dialNextSeed dials the seeds in turn while this host has no link. The leader continues
-// at a longer interval, because it might be the leader of only a part of the site: hosts
-// that start together find each other through different seeds. Seeds may be out of date,
-// and most are in other data centres; m.mu is held.
-func (m *Mesh) dialNextSeed(now time.Time, isLeader bool) {
-	if now.Before(m.nextSeedDial) || len(m.links) > 0 && (!isLeader || now.Before(m.nextSeedDial.Add(m.leaderDialInterval(now)))) {
-		return
-	}
-	seeds := m.seeds()
-	for range seeds {
-		seed := seeds[m.nextSeedIndex%len(seeds)]
-		m.nextSeedIndex++
-		if seed != m.self.Address && !m.hasLinkTo(seed) {
-			m.nextSeedDial = now.Add(seedDialInterval)
-			m.startDial(now, seed)
-			return
-		}
-	}
-}
-
-// leaderDialInterval returns the interval at which the leader dials seeds.
-func (m *Mesh) leaderDialInterval(now time.Time) time.Duration {
-	if now.Before(m.startedAt.Add(startupDialDuration)) {
-		return seedDialInterval
-	}
-	return leaderSeedDialInterval
-}
-
-// hasLinkTo reports whether a link to an address is open; m.mu is held.
-func (m *Mesh) hasLinkTo(address netip.AddrPort) bool {
-	for _, list := range m.links {
-		if len(list) > 0 && list[0].peer.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
 // updateUpstream subscribes to the changes at the upstream host and unsubscribes at all
 // others; m.mu is held.
 func (m *Mesh) updateUpstream(now time.Time, upstream wagroster.Member, hasUpstream bool) {
@@ -413,32 +352,6 @@
 	}
 }
 
-// ensureLink starts to open a link to a member unless there is one; m.mu is held.
-func (m *Mesh) ensureLink(now time.Time, to wagroster.Member) {
-	if m.linkTo(to.Name) == nil {
-		m.startDial(now, to.Address)
-	}
-}
-
-// startDial starts to open a link unless that is in progress or not yet due; m.mu is
-// held.
-func (m *Mesh) startDial(now time.Time, to netip.AddrPort) {
-	d, ok := m.dialStates[to]
-	if !ok {
-		d = &dialState{}
-		m.dialStates[to] = d
-	}
-	if d.inProgress || now.Before(d.nextAttempt) {
-		return
-	}
-	d.inProgress = true
-	d.nextAttempt = now.Add(dialRetryDelay)
-	m.group.Go(func() error {
-		m.runOutbound(to, d)
-		return nil
-	})
-}
-
 // linkTo returns the latest open link to a host, or nil; m.mu is held.
 func (m *Mesh) linkTo(name string) *link {
 	list := m.links[name]
@@ -527,35 +440,3 @@
 		m.forwardMembers(from, changed)
 	}
 }
-
-// PushChanges sends the changes of objects to the peers that exchange updates with this
-// host.
-func (m *Mesh) PushChanges() {
-	m.mu.Lock()
-	links := m.allLinks()
-	m.mu.Unlock()
-	complete := m.sync.CompleteRevisions()
-	for _, l := range links {
-		l.pushUpdates(complete)
-	}
-}
-
-// encodedUpdate returns the message with the changes of a kind after a revision.
-func (m *Mesh) encodedUpdate(kind string, since wagmirror.Revision) (*Update, error) {
-	u := m.sync.UpdateSince(kind, since)
-	key := updateKey{kind: kind, since: since, at: u.At}
-	m.encodeMu.Lock()
-	defer m.encodeMu.Unlock()
-	if message, ok := m.encodedUpdates[key]; ok {
-		return message, nil
-	}
-	message, err := updateMessage(u)
-	if err != nil {
-		return nil, err
-	}
-	if len(m.encodedUpdates) >= maxEncodedUpdates {
-		clear(m.encodedUpdates)
-	}
-	m.encodedUpdates[key] = message
-	return message, nil
-}
