wagsync, wagmesh: Wait for objects that another host is about to send

Change: a host that has subscribed to the changes of its upstream host waits up to 1 s; one that is only connecting waits up to 0.3 s as before. Requests wait 0.4 s for a configuration, as before, and are refused with a time to come back.

--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -165,7 +165,7 @@
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	m.group, m.ctx = errgroup.WithContext(ctx)
 	m.startedAt = m.clock.Now()
-	m.sync.SetExpectation(m.expectsObjects)
+	m.sync.SetExpectation(m.expectation)
 	m.group.Go(func() error {
 		err := server.Serve(m.ctx, l)
 		if ctx.Err() != nil || m.ctx.Err() != nil {
@@ -244,21 +244,24 @@
 	m.sync.SetFollowing(m.ctx, m.mustFollow(now, hasUpstream && !isBackup, rank))
 }
 
-// expectsObjects reports whether a host that has just started will probably receive the
-// objects of the store from another one: from the relay of its data centre, or from a
-// host that it is connecting to.
-func (m *Mesh) expectsObjects() bool {
+// expectation tells whether a host that has just started will receive the objects of the
+// store from another one.
+func (m *Mesh) expectation() wagsync.Expectation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if relay, ok := m.roster.Relay(m.self.DataCentre); ok && relay.Name != m.self.Name {
-		return true
+	upstream, ok := m.roster.Upstream(m.clock.Now())
+	switch {
+	case ok && upstream.DataCentre == m.self.DataCentre && m.upstream != nil:
+		return wagsync.ExpectTransfer
+	case ok && upstream.DataCentre == m.self.DataCentre:
+		return wagsync.ExpectConnection
 	}
 	for _, d := range m.dialStates {
 		if d.inProgress && len(m.links) == 0 {
-			return true
+			return wagsync.ExpectConnection
 		}
 	}
-	return false
+	return wagsync.ExpectNothing
 }
 
 // updateOwnStoreState checks whether this host or the leader is disconnected from the
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -40,8 +40,10 @@
 	// Asking a seed and then a host of the own data centre takes 20 to 50 ms.
 	firstReadDelay = 50 * time.Millisecond
 	// maxExpectationDelay bounds how long after the start a host waits for objects that
-	// it expects from another one. Requests wait for them a little longer.
+	// it may get from another one, and maxTransferDelay for those that the other one is
+	// about to send. Requests wait for them longer than the first.
 	maxExpectationDelay = 300 * time.Millisecond
+	maxTransferDelay    = time.Second
 	// maxFirstReadDelay bounds the delay before the first read is retried.
 	maxFirstReadDelay = 400 * time.Millisecond
 	// pingInterval is the time between two pings of the store by a disconnected host
@@ -86,9 +88,9 @@
 	storeRevision wagmirror.Revision
 	// peerConfirmed is when the copy was last complete according to another host.
 	peerConfirmed time.Time
-	// expectsObjects reports whether another host will probably send the objects, so that
-	// the first read of the store can wait.
-	expectsObjects func() bool
+	// expectation tells whether another host will send the objects, so that the first
+	// read of the store can wait.
+	expectation func() Expectation
 	// disconnected means that this host does not reach the store. While the host does
 	// not follow the store, it stays set until a ping succeeds.
 	disconnected bool
@@ -128,7 +130,7 @@
 	s := &Sync{
 		store: store, clock: wagclock.System{}, log: logrus.StandardLogger(), onChange: onChange,
 		followingStarted: make(chan struct{}), mirror: wagmirror.New(kinds...), kinds: make(map[string]*kindState), primaryKind: kinds[0],
-		expectsObjects: func() bool { return false },
+		expectation: func() Expectation { return ExpectNothing },
 	}
 	for _, kind := range kinds {
 		s.kinds[kind] = &kindState{}
@@ -162,12 +164,26 @@
 	s.log.Info("this host follows the store")
 }
 
-// SetExpectation sets the function that reports whether another host will probably send
-// the objects to this one, which has just started.
-func (s *Sync) SetExpectation(expectsObjects func() bool) {
+// Expectation tells whether a host that has just started will get the objects from
+// another one.
+type Expectation int
+
+// Expectations.
+const (
+	// ExpectNothing means that no other host is known.
+	ExpectNothing Expectation = iota
+	// ExpectConnection means that another host is being connected to.
+	ExpectConnection
+	// ExpectTransfer means that this host has subscribed to the changes of another one.
+	ExpectTransfer
+)
+
+// SetExpectation sets the function that tells whether another host will send the objects
+// to this one, which has just started.
+func (s *Sync) SetExpectation(expectation func() Expectation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.expectsObjects = expectsObjects
+	s.expectation = expectation
 }
 
 // awaitPeers waits after the start until the objects have to be read from the store:
@@ -175,11 +191,18 @@
 func (s *Sync) awaitPeers(ctx context.Context) {
 	start := s.clock.Now()
 	next := start.Add(firstReadDelay + rand.N(firstReadDelay))
-	for wagclock.Wait(ctx, s.clock, next) && next.Before(start.Add(maxExpectationDelay)) && s.HasUnreadKinds() {
+	for wagclock.Wait(ctx, s.clock, next) && s.HasUnreadKinds() {
 		s.mu.Lock()
-		expectsObjects := s.expectsObjects
+		expectation := s.expectation
 		s.mu.Unlock()
-		if !expectsObjects() {
+		var limit time.Time
+		switch expectation() {
+		case ExpectTransfer:
+			limit = start.Add(maxTransferDelay)
+		case ExpectConnection:
+			limit = start.Add(maxExpectationDelay)
+		}
+		if !next.Before(limit) {
 			return
 		}
 		next = next.Add(firstReadDelay)
--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -381,9 +381,28 @@
 // Guards against hosts that all read the store when they start together, although one of
 // them passes the objects on, and against one that waits for objects that do not come.
 func TestFirstReadWaitsForExpectedObjects(t *testing.T) {
+	for name, x := range map[string]struct {
+		expectation Expectation
+		// readAt is the latest time after the start at which the host reads the store.
+		readAt time.Duration
+	}{
+		"none":       {ExpectNothing, 2 * firstReadDelay},
+		"connection": {ExpectConnection, maxExpectationDelay + firstReadDelay},
+		"transfer":   {ExpectTransfer, maxTransferDelay + firstReadDelay},
+	} {
+		t.Run(name+", they do not arrive", func(t *testing.T) {
+			run(t, func(is *is.I, f *fixture) {
+				f.sync.SetExpectation(func() Expectation { return x.expectation })
+				sleep(x.readAt - 2*firstReadDelay)
+				is.Equal(f.store.lists, 0)
+				sleep(2 * firstReadDelay)
+				is.Equal(f.store.lists, 2)
+			})
+		})
+	}
 	t.Run("they arrive", func(t *testing.T) {
 		run(t, func(is *is.I, x *fixture) {
-			x.sync.SetExpectation(func() bool { return true })
+			x.sync.SetExpectation(func() Expectation { return ExpectTransfer })
 			sleep(2 * firstReadDelay)
 			for _, kind := range []string{"config", "servers"} {
 				x.sync.Apply(wagmirror.Update{Kind: kind, Full: true, At: 1})
@@ -392,19 +411,4 @@
 			is.Equal(x.store.lists, 0)
 		})
 	})
-	t.Run("they do not", func(t *testing.T) {
-		run(t, func(is *is.I, x *fixture) {
-			x.sync.SetExpectation(func() bool { return true })
-			sleep(maxExpectationDelay - firstReadDelay)
-			is.Equal(x.store.lists, 0)
-			sleep(3 * firstReadDelay)
-			is.Equal(x.store.lists, 2)
-		})
-	})
-	t.Run("none expected", func(t *testing.T) {
-		run(t, func(is *is.I, x *fixture) {
-			sleep(2 * firstReadDelay)
-			is.Equal(x.store.lists, 2)
-		})
-	})
 }
