wagmesh: Let hosts that start before their seeds wait for them

All hosts start within 0.3 s. Those that start before the seeds have no link and no dial in progress when they decide, and read the store after 50 to 100 ms.

Change: a host with seeds expects a connection, for 0.4 s after its start.

--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -253,15 +254,17 @@
 	switch {
 	case ok && upstream.DataCentre == m.self.DataCentre && m.upstream != nil:
 		return wagsync.ExpectTransfer
-	case ok && upstream.DataCentre == m.self.DataCentre:
+	case ok && upstream.DataCentre == m.self.DataCentre, len(m.links) == 0 && m.hasOtherSeeds():
+		// Without a link, the seeds may be starting at the same time.
 		return wagsync.ExpectConnection
+	default:
+		return wagsync.ExpectNothing
 	}
-	for _, d := range m.dialStates {
-		if d.inProgress && len(m.links) == 0 {
-			return wagsync.ExpectConnection
-		}
-	}
-	return wagsync.ExpectNothing
+}
+
+// hasOtherSeeds reports whether a seed is not this host.
+func (m *Mesh) hasOtherSeeds() bool {
+	return slices.ContainsFunc(m.seeds(), func(seed netip.AddrPort) bool { return seed != m.self.Address })
 }
 
 // updateOwnStoreState checks whether this host or the leader is disconnected from the
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -41,8 +41,8 @@
 	firstReadDelay = 50 * time.Millisecond
 	// maxExpectationDelay bounds how long after the start a host waits for objects that
 	// it may get from another one, and maxTransferDelay for those that the other one is
-	// about to send. Requests wait for them longer than the first.
-	maxExpectationDelay = 300 * time.Millisecond
+	// about to send. Requests wait as long as the first.
+	maxExpectationDelay = 400 * time.Millisecond
 	maxTransferDelay    = time.Second
 	// maxFirstReadDelay bounds the delay before the first read is retried.
 	maxFirstReadDelay = 400 * time.Millisecond
