wagsync: Let only the first start of a site wait long for objects of other hosts

Change: the settings of the platform say when the whole site starts for the first time. The long waits apply then, when no caller waits. At later starts a host that has subscribed at another waits 0.3 s, and any other host 0.05 to 0.1 s as before.

--- a/waghost/site.go
+++ b/waghost/site.go
@@ -52,6 +52,9 @@
 	CallerAddress, ReadinessAddress, PeerAddress netip.AddrPort
 	// Seeds are the peer addresses of some hosts of the site. They may be out of date.
 	Seeds []netip.AddrPort
+	// FirstStart is set when the whole site starts for the first time, so that no caller
+	// waits for it.
+	FirstStart bool
 	// GracePeriod bounds a graceful shutdown.
 	GracePeriod time.Duration
 	// Limits bound the retries and probes of the server groups that this host owns.
@@ -109,7 +112,7 @@
 	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader())
 	s.owner = wagowner.New(settings.DataCentre, &prober{host: s, protocol: protocol}, wagowner.WithClock(s.clock), wagowner.WithObserver(obs),
 		wagowner.WithLimits(settings.Limits))
-	s.sync = wagsync.New(store, s.applyRecords, decoder.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()))
+	s.sync = wagsync.New(store, s.applyRecords, decoder.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()), wagsync.WithFirstStart(settings.FirstStart))
 	self := wagroster.Member{
 		Name: settings.Name, DataCentre: settings.DataCentre, Generation: uint64(s.clock.Now().UnixMilli()), Address: settings.PeerAddress,
 		MilliCores: settings.MilliCores,
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -39,11 +39,14 @@
 	// that a host that starts slightly later receives the objects from the first one.
 	// Asking a seed and then a host of the own data centre takes 20 to 50 ms.
 	firstReadDelay = 50 * time.Millisecond
-	// maxExpectationDelay bounds how long after the start a host waits for objects that
-	// it may get from another one, and maxTransferDelay for those that the other one is
-	// about to send. Requests wait as long as the first.
-	maxExpectationDelay = 400 * time.Millisecond
-	maxTransferDelay    = time.Second
+	// connectionDelay bounds how long after the start a host waits for objects that it may
+	// get from another one, and transferDelay for those that another one is about to send.
+	connectionDelay = firstReadDelay
+	transferDelay   = 300 * time.Millisecond
+	// firstConnectionDelay and firstTransferDelay replace them at the first start of the
+	// site: no caller waits then, and each read of the store is paid for.
+	firstConnectionDelay = 400 * time.Millisecond
+	firstTransferDelay   = time.Second
 	// maxFirstReadDelay bounds the delay before the first read is retried.
 	maxFirstReadDelay = 400 * time.Millisecond
 	// pingInterval is the time between two pings of the store by a disconnected host
@@ -91,6 +94,9 @@
 	// expectation tells whether another host will send the objects, so that the first
 	// read of the store can wait.
 	expectation func() Expectation
+	// connectionDelay and transferDelay are how long after the start the first read waits
+	// with ExpectConnection and with ExpectTransfer.
+	connectionDelay, transferDelay time.Duration
 	// disconnected means that this host does not reach the store. While the host does
 	// not follow the store, it stays set until a ping succeeds.
 	disconnected bool
@@ -124,13 +130,23 @@
 // WithLog replaces the standard logger.
 func WithLog(l logrus.FieldLogger) Option { return func(s *Sync) { s.log = l } }
 
+// WithFirstStart says whether the whole site starts for the first time. A host then waits
+// longer for the objects of others before it reads the store.
+func WithFirstStart(isFirst bool) Option {
+	return func(s *Sync) {
+		if isFirst {
+			s.connectionDelay, s.transferDelay = firstConnectionDelay, firstTransferDelay
+		}
+	}
+}
+
 // New returns an empty copy of some kinds of objects. The first kind is always watched
 // with short watches, which also show changes of the others.
 func New(store wagmirror.Store, onChange ChangeHandler, kinds []string, opts ...Option) *Sync {
 	s := &Sync{
 		store: store, clock: wagclock.System{}, log: logrus.StandardLogger(), onChange: onChange,
 		followingStarted: make(chan struct{}), mirror: wagmirror.New(kinds...), kinds: make(map[string]*kindState), primaryKind: kinds[0],
-		expectation: func() Expectation { return ExpectNothing },
+		expectation: func() Expectation { return ExpectNothing }, connectionDelay: connectionDelay, transferDelay: transferDelay,
 	}
 	for _, kind := range kinds {
 		s.kinds[kind] = &kindState{}
@@ -198,9 +214,9 @@
 		var limit time.Time
 		switch expectation() {
 		case ExpectTransfer:
-			limit = start.Add(maxTransferDelay)
+			limit = start.Add(s.transferDelay)
 		case ExpectConnection:
-			limit = start.Add(maxExpectationDelay)
+			limit = start.Add(s.connectionDelay)
 		}
 		if !next.Before(limit) {
 			return
