--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -209,14 +209,14 @@
 	next := start.Add(firstReadDelay + rand.N(firstReadDelay))
 	for wagclock.Wait(ctx, s.clock, next) && s.HasUnreadKinds() {
 		s.mu.Lock()
-		expectation := s.expectation
+		expectation, connectBy, transferBy := s.expectation, start.Add(s.connectionDelay), start.Add(s.transferDelay)
 		s.mu.Unlock()
 		var limit time.Time
 		switch expectation() {
 		case ExpectTransfer:
-			limit = start.Add(s.transferDelay)
+			limit = transferBy
 		case ExpectConnection:
-			limit = start.Add(s.connectionDelay)
+			limit = connectBy
 		}
 		if !next.Before(limit) {
 			return
