wagmesh: Forward members to subscribed hosts on every link

One host kept a former owner for good, so that two hosts assigned requests to the same servers. Changed members were forwarded only to the upstream host and to hosts that had opened a link. A host that subscribed over a link which its upstream host had opened received none. Since the seeds are spread, such links are common.

Change: members are forwarded to subscribed peers too, and sent when a peer subscribes on a link that this host opened.

--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -216,13 +216,16 @@
 	probes map[string]int
 	// isFirstStart says that hosts start with the site, until it is set to false.
 	isFirstStart bool
+	// seeds holds the addresses that hosts which start now dial first.
+	seeds []netip.AddrPort
 }
 
 // runSite runs f with a site that has a number of hosts in each data centre.
 func runSite(t *testing.T, hosts int, dataCentres []string, f func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &site{t: t, network: newNetwork(), store: newStore(), probes: make(map[string]int), isFirstStart: true}
+		s := &site{t: t, network: newNetwork(), store: newStore(), probes: make(map[string]int), isFirstStart: true,
+			seeds: []netip.AddrPort{testMember("", 0, 0).Address, testMember("", 1, 0).Address}}
 		for n := range hosts {
 			for i, dataCentre := range dataCentres {
 				s.startHost(testMember(dataCentre, i, n))
@@ -256,7 +259,7 @@
 	h.cancel = cancel
 	h.owner = wagowner.New(m.DataCentre, h)
 	h.owner.SetServers(testServers())
-	changed := make(chan struct{}, 1)
+	changed, seeds := make(chan struct{}, 1), s.seeds
 	h.sync = wagsync.New(hostStore{s.store, m.Name}, func([]wagmirror.Record) {
 		select {
 		case changed <- struct{}{}:
@@ -264,9 +267,7 @@
 		}
 	}, []string{testKind}, wagsync.WithLog(log), wagsync.WithFirstStart(s.isFirstStart))
 	h.mesh = New(m, h.sync, h.owner, WithLog(log),
-		WithSeeds(func() []netip.AddrPort {
-			return []netip.AddrPort{testMember("", 0, 0).Address, testMember("", 1, 0).Address}
-		}),
+		WithSeeds(func() []netip.AddrPort { return seeds }),
 		WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return s.network.dial(ctx, m.Address.Addr(), to)
 		}))
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -287,8 +287,9 @@
 	l.mu.Lock()
 	l.peerSubscribed, l.nextHeartbeat = subscribed, now
 	l.mu.Unlock()
-	if subscribed && !l.inSameDataCentre() {
-		// Relays of different data centres send each other the hosts of their own.
+	if subscribed && (!l.inSameDataCentre() || !l.inbound) {
+		// Relays of different data centres send each other the hosts of their own. To a
+		// host whose link this one opened, no changes were forwarded before.
 		l.mesh.mu.Lock()
 		l.mesh.sendMembers(l, l.mesh.roster.Members())
 		l.mesh.mu.Unlock()
@@ -322,6 +323,13 @@
 	return l.subscribed || l.peerSubscribed
 }
 
+// isPeerSubscribed reports whether the peer is subscribed to changes on the link.
+func (l *link) isPeerSubscribed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peerSubscribed
+}
+
 // handleUpdate applies an update of the peer and forwards the changes.
 func (l *link) handleUpdate(u wagmirror.Update) {
 	if !l.exchangesUpdates() {
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -396,11 +396,12 @@
 	}
 }
 
-// forwardMembers forwards changed members to the upstream host and to the hosts that
-// opened links to this one, except to the sender; m.mu is held.
+// forwardMembers forwards changed members to the upstream host, to the hosts that
+// opened links to this one, and to those that are subscribed, except to the sender; m.mu
+// is held.
 func (m *Mesh) forwardMembers(from *link, changed []wagroster.Member) {
 	for _, l := range m.allLinks() {
-		if l != from && (l.inbound || l == m.upstream) {
+		if l != from && (l.inbound || l == m.upstream || l.isPeerSubscribed()) {
 			m.sendMembers(l, changed)
 		}
 	}
