wagmesh, wagsync: Let a restarted host wait for the objects that others have

A later start waits 50 ms for a link to a host of its data centre, but dials one only at its second tick, 100 ms after the start, so that each restart read all kinds from the store.

Change: the first frame of a link carries the sender's heartbeat with the revisions of its copy. While a linked host has all objects and the data centre has another host, the first read waits up to 1 s. The upstream host is dialled as soon as it is known. Subscriptions at others than the upstream host, which a start opens, end once all objects are there; before, some stayed.

--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -129,7 +129,10 @@
 	m.mu.Lock()
 	hello := &Hello{Self: memberMessage(m.roster.Self())}
 	m.mu.Unlock()
-	l.enqueue(func(f *Frame) { f.Hello = hello })
+	// The heartbeat shows a host that has just started whether it will get the objects of
+	// the store from others.
+	b := &Beat{Complete: m.completeMessages(), Disconnected: m.sync.IsDisconnected()}
+	l.enqueue(func(f *Frame) { f.Hello, f.Beat = hello, b })
 	defer l.release()
 	// Recv does not end with ctx when the peer is silent.
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
@@ -438,9 +441,7 @@
 	s := l.mesh.sync
 	b := &Beat{Disconnected: s.IsDisconnected(), Lost: l.inSameDataCentre() && l.mesh.leaderMayBeDisconnected}
 	if l.exchangesUpdates() {
-		for kind, revision := range s.CompleteRevisions() {
-			b.Complete = append(b.Complete, &Complete{Kind: kind, Revision: uint64(revision)})
-		}
+		b.Complete = l.mesh.completeMessages()
 		if at := s.ConfirmedAt(); !at.IsZero() {
 			age := uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
 			b.ConfirmedAge = &age
@@ -449,6 +450,26 @@
 	l.enqueue(func(f *Frame) { f.Beat = b })
 }
 
+// completeMessages returns the revisions up to which the copy of this host is complete.
+func (m *Mesh) completeMessages() (list []*Complete) {
+	for kind, revision := range m.sync.CompleteRevisions() {
+		list = append(list, &Complete{Kind: kind, Revision: uint64(revision)})
+	}
+	return list
+}
+
+// isPeerComplete reports whether the peer has the objects of all kinds.
+func (l *link) isPeerComplete() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, kind := range l.mesh.sync.Kinds() {
+		if l.peerRevisions[kind] == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // release removes the ended link, cancels the requests and attempts of the peer, and
 // ends the requests that were sent to it.
 func (l *link) release() {
--- a/wagmesh/mesh_test.go
+++ b/wagmesh/mesh_test.go
@@ -232,6 +232,29 @@
 	})
 }
 
+// Guards against hosts that read the store when they restart one after the other, as for
+// a new version of the program: other hosts have all objects.
+func TestRollingRestartReadsNoStore(t *testing.T) {
+	runSite(t, 5, threeDataCentres, func(s *site) {
+		is := is.New(t)
+		sleep(5 * time.Second)
+		lists := s.store.listCount()
+		for _, h := range slices.Clone(s.hosts) {
+			h.mesh.Leave()
+			sleep(100 * time.Millisecond)
+			h.stop()
+			s.remove(h)
+			sleep(100 * time.Millisecond)
+			restarted := s.startHost(h.member)
+			sleep(400 * time.Millisecond)
+			is.Equal(restarted.knownRevision(), wagmirror.Revision(1))
+		}
+		is.Equal(s.store.listCount()-lists, 0)
+		sleep(5 * time.Second)
+		is.Equal(len(s.followers()), 1)
+	})
+}
+
 // Guards against servers that several hosts assign requests to: the requests of all
 // hosts of a data centre have to be placed by the owner.
 func TestOnlyOwnersPlaceRequests(t *testing.T) {
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -95,6 +95,9 @@
 	dialStates map[netip.AddrPort]*dialState
 	// upstream is the link on which this host receives changes, or nil.
 	upstream *link
+	// subscribedToOthers is set when this host has subscribed at others than its upstream
+	// host after its start.
+	subscribedToOthers bool
 	// selfDisconnected and leaderMayBeDisconnected are the state of this host and of the
 	// leader at the latest tick. Peers are notified at once when it changes.
 	selfDisconnected, leaderMayBeDisconnected bool
@@ -252,6 +255,8 @@
 	defer m.mu.Unlock()
 	upstream, ok := m.roster.Upstream(m.clock.Now())
 	switch {
+	case m.roster.HasNeighbour() && m.hasCompletePeer():
+		return wagsync.ExpectObjects
 	case ok && upstream.DataCentre == m.self.DataCentre && m.upstream != nil:
 		return wagsync.ExpectTransfer
 	case ok && upstream.DataCentre == m.self.DataCentre, len(m.links) == 0 && m.hasOtherSeeds():
@@ -262,6 +267,11 @@
 	}
 }
 
+// hasCompletePeer reports whether a linked host has all objects; m.mu is held.
+func (m *Mesh) hasCompletePeer() bool {
+	return slices.ContainsFunc(m.allLinks(), (*link).isPeerComplete)
+}
+
 // hasOtherSeeds reports whether a seed is not this host.
 func (m *Mesh) hasOtherSeeds() bool {
 	return slices.ContainsFunc(m.seeds(), func(seed netip.AddrPort) bool { return seed != m.self.Address })
@@ -331,7 +341,7 @@
 }
 
 // updateUpstream subscribes to the changes at the upstream host and unsubscribes at all
-// others; m.mu is held.
+// others, as soon as this host has all objects; m.mu is held.
 func (m *Mesh) updateUpstream(now time.Time, upstream wagroster.Member, hasUpstream bool) {
 	var newUpstream *link
 	if hasUpstream && upstream.DataCentre != m.self.DataCentre && m.sync.HasUnreadKinds() && now.Before(m.startedAt.Add(storeReadTimeout)) {
@@ -344,10 +354,11 @@
 			m.startDial(now, upstream.Address)
 		}
 	}
-	if newUpstream == m.upstream || newUpstream == nil && hasUpstream {
+	unsubscribe := m.subscribedToOthers && (newUpstream != nil || !hasUpstream) && !m.sync.HasUnreadKinds()
+	if newUpstream == m.upstream && !unsubscribe || newUpstream == nil && hasUpstream {
 		return
 	}
-	m.upstream = newUpstream
+	m.upstream, m.subscribedToOthers = newUpstream, m.subscribedToOthers && !unsubscribe
 	if newUpstream != nil {
 		newUpstream.setSubscribed(true)
 	}
@@ -374,6 +385,7 @@
 		// After the start this host takes the objects from whichever host has them
 		// first.
 		l.setSubscribed(true)
+		m.subscribedToOthers = true
 	}
 	changed := m.roster.UpdateFromMember(l.peer)
 	m.sendMembers(l, m.roster.Members())
@@ -446,4 +458,9 @@
 	if len(changed) > 0 {
 		m.forwardMembers(from, changed)
 	}
+	if m.upstream == nil && m.ctx.Err() == nil && m.sync.HasUnreadKinds() && m.hasCompletePeer() {
+		now := m.clock.Now()
+		upstream, ok := m.roster.Upstream(now)
+		m.updateUpstream(now, upstream, ok)
+	}
 }
--- a/wagroster/wagroster.go
+++ b/wagroster/wagroster.go
@@ -342,6 +342,13 @@
 	return d.rank
 }
 
+// HasNeighbour reports whether another reachable host is in the data centre of this one.
+func (r *Roster) HasNeighbour() bool {
+	d := r.dataCentre(r.self.DataCentre)
+	r.refresh(r.self.DataCentre, d)
+	return len(d.ranked) > 1
+}
+
 // maxChildren bounds the hosts of its data centre to which a host passes changes on.
 const maxChildren = 32
 
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -47,6 +47,9 @@
 	// site: no caller waits then, and each read of the store is paid for.
 	firstConnectionDelay = 400 * time.Millisecond
 	firstTransferDelay   = time.Second
+	// objectsDelay bounds how long after the start a host waits for the objects that others
+	// have, as after the restart of a single host.
+	objectsDelay = time.Second
 	// maxFirstReadDelay bounds the delay before the first read is retried.
 	maxFirstReadDelay = 400 * time.Millisecond
 	// pingInterval is the time between two pings of the store by a disconnected host
@@ -192,6 +195,9 @@
 	ExpectConnection
 	// ExpectTransfer means that this host has subscribed to the changes of another one.
 	ExpectTransfer
+	// ExpectObjects means that another host has all objects, and that a host of the same
+	// data centre is going to send them.
+	ExpectObjects
 )
 
 // SetExpectation sets the function that tells whether another host will send the objects
@@ -213,6 +219,8 @@
 		s.mu.Unlock()
 		var limit time.Time
 		switch expectation() {
+		case ExpectObjects:
+			limit = start.Add(objectsDelay)
 		case ExpectTransfer:
 			limit = transferBy
 		case ExpectConnection:
@@ -536,6 +544,9 @@
 	return s.followCtx != nil
 }
 
+// Kinds returns the kinds of objects, in alphabetical order.
+func (s *Sync) Kinds() []string { return s.mirror.Kinds() }
+
 // CompleteRevisions returns the revision up to which all changes of each kind are known.
 func (s *Sync) CompleteRevisions() map[string]wagmirror.Revision {
 	s.mu.Lock()
