--- a/wagload/pattern.go
+++ b/wagload/pattern.go
@@ -82,36 +82,22 @@
 	}}
 )
 
+// lotDeskLarge is lotDesk in one data centre of a site with hundreds of servers, whose
+// requests take six times as long.
+var lotDeskLarge = Pattern{Servers: 84, Slots: 6, QueueLimit: 12, Routes: []Route{
+	{Name: "lot-status", PerSecond: 165, ServiceTime: 360 * time.Millisecond, Goal: time.Second, Deadline: 5 * time.Second, Value: 1, LateValue: 0.1, Idempotent: true, Rank: 1},
+	{Name: "purchase-commit", PerSecond: 54, ServiceTime: 460 * time.Millisecond, Goal: 1200 * time.Millisecond, Deadline: 6 * time.Second, Value: 2, LateValue: 0.2},
+}}
+
 // Patterns returns all patterns.
 func Patterns() (list []Pattern) {
 	const length = 30 * time.Second
-	phases := []struct {
-		name   string
-		phases []Phase
-	}{
-		{"calm", nil},
-		// The demand of the peak exceeds the capacity of the servers.
-		{"crest", []Phase{{From: 8 * time.Second, Until: 14 * time.Second, DemandFactor: 4.5}}},
-		{"wave", []Phase{{From: 6 * time.Second, Until: 24 * time.Second, DemandFactor: 2.5}}},
-		{"slow", []Phase{{From: 8 * time.Second, Until: 16 * time.Second, AffectedServers: 2, ServiceTimeFactor: 8}}},
-		{"hiddenSlow", []Phase{{From: 8 * time.Second, Until: 16 * time.Second, AffectedServers: 2, ServiceTimeFactor: 8, Hidden: true}}},
-		{"grey", []Phase{{From: 8 * time.Second, Until: 20 * time.Second, AffectedServers: 1, ErrorShare: 0.5}}},
-		// All servers fail a few requests, so that most servers of the group have failed
-		// recently.
-		{"failing", []Phase{{From: 8 * time.Second, Until: 20 * time.Second, AffectedServers: 5, ErrorShare: 0.05}}},
-		{"silent", []Phase{{From: 8 * time.Second, Until: 14 * time.Second, AffectedServers: 2, Silent: true}}},
-		{"down", []Phase{{From: 8 * time.Second, Until: 14 * time.Second, AffectedServers: 2, Down: true}}},
-		{"slowAtCrest", []Phase{
-			{From: 8 * time.Second, Until: 16 * time.Second, DemandFactor: 2.5},
-			{From: 9 * time.Second, Until: 14 * time.Second, AffectedServers: 2, ServiceTimeFactor: 5},
-		}},
-	}
 	services := []struct {
 		name    string
 		service Pattern
-	}{{"lotDesk", lotDesk}, {"ordering", ordering}}
+	}{{"lotDesk", lotDesk}, {"ordering", ordering}, {"lotDeskLarge", lotDeskLarge}}
 	for _, s := range services {
-		for _, x := range phases {
+		for _, x := range phasesOf(s.service.Servers) {
 			p := s.service
 			p.Name, p.Phases, p.Duration = s.name+"/"+x.name, x.phases, length
 			list = append(list, p)
@@ -120,6 +106,37 @@
 	return list
 }
 
+// namedPhases are the phases of a pattern, with the second part of its name.
+type namedPhases struct {
+	name   string
+	phases []Phase
+}
+
+// phasesOf returns the phases of the patterns for a number of servers.
+func phasesOf(servers int) []namedPhases {
+	// Faults affect a seventh of the servers, and two or one of a few servers.
+	const share = 7
+	two, one := max(2, servers/share), max(1, servers/share)
+	return []namedPhases{
+		{"calm", nil},
+		// The demand of the peak exceeds the capacity of the servers.
+		{"crest", []Phase{{From: 8 * time.Second, Until: 14 * time.Second, DemandFactor: 4.5}}},
+		{"wave", []Phase{{From: 6 * time.Second, Until: 24 * time.Second, DemandFactor: 2.5}}},
+		{"slow", []Phase{{From: 8 * time.Second, Until: 16 * time.Second, AffectedServers: two, ServiceTimeFactor: 8}}},
+		{"hiddenSlow", []Phase{{From: 8 * time.Second, Until: 16 * time.Second, AffectedServers: two, ServiceTimeFactor: 8, Hidden: true}}},
+		{"grey", []Phase{{From: 8 * time.Second, Until: 20 * time.Second, AffectedServers: one, ErrorShare: 0.5}}},
+		// All servers fail a few requests, so that most servers of the group have failed
+		// recently.
+		{"failing", []Phase{{From: 8 * time.Second, Until: 20 * time.Second, AffectedServers: servers, ErrorShare: 0.05}}},
+		{"silent", []Phase{{From: 8 * time.Second, Until: 14 * time.Second, AffectedServers: two, Silent: true}}},
+		{"down", []Phase{{From: 8 * time.Second, Until: 14 * time.Second, AffectedServers: two, Down: true}}},
+		{"slowAtCrest", []Phase{
+			{From: 8 * time.Second, Until: 16 * time.Second, DemandFactor: 2.5},
+			{From: 9 * time.Second, Until: 14 * time.Second, AffectedServers: two, ServiceTimeFactor: 5},
+		}},
+	}
+}
+
 // FindPattern returns the pattern with the given name.
 func FindPattern(name string) (p Pattern, err error) {
 	var names []string
