--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -92,6 +92,8 @@
 	primaryKind string
 	// storeRevision is the latest revision that the store reported.
 	storeRevision wagmirror.Revision
+	// startedAt is when Run was called.
+	startedAt time.Time
 	// peerConfirmed is when the copy was last complete according to another host.
 	peerConfirmed time.Time
 	// expectation tells whether another host will send the objects, so that the first
@@ -235,6 +237,9 @@
 
 // Run follows the store while SetFollowing says so, until ctx ends.
 func (s *Sync) Run(ctx context.Context) error {
+	s.mu.Lock()
+	s.startedAt = s.clock.Now()
+	s.mu.Unlock()
 	var g errgroup.Group
 	g.Go(func() error {
 		s.readAtStart(ctx)
@@ -272,7 +277,7 @@
 			g.Go(func() error {
 				u, err := s.store.List(ctx, kind)
 				if err == nil {
-					s.Apply(u)
+					s.apply(u, "store")
 				}
 				return err
 			})
@@ -408,7 +413,7 @@
 		if err != nil {
 			return err
 		}
-		s.Apply(u)
+		s.apply(u, "store")
 		s.mu.Lock()
 		f.canWatch = true
 		s.mu.Unlock()
@@ -423,7 +428,7 @@
 		// the same revision again.
 		u.At = after
 	}
-	s.Apply(u)
+	s.apply(u, "store")
 	return nil
 }
 
@@ -473,13 +478,22 @@
 	}
 }
 
-// Apply applies an update of the store or of another host. It returns false when
-// changes before the update are missing.
-func (s *Sync) Apply(u wagmirror.Update) bool {
+// Apply applies an update of another host. It returns false when changes before the
+// update are missing.
+func (s *Sync) Apply(u wagmirror.Update) bool { return s.apply(u, "host") }
+
+// apply applies an update from the store or another host.
+func (s *Sync) apply(u wagmirror.Update, source string) bool {
 	s.deliveryMu.Lock()
 	defer s.deliveryMu.Unlock()
 	s.mu.Lock()
+	isFirst := s.mirror.CompleteRevision(u.Kind) == 0
 	records, ok := s.mirror.Apply(u)
+	if isFirst && s.mirror.CompleteRevision(u.Kind) > 0 {
+		s.log.WithFields(logrus.Fields{
+			"kind": u.Kind, "from": source, "objects": len(records), "afterMs": s.clock.Now().Sub(s.startedAt).Milliseconds(),
+		}).Info("this host has all objects of a kind")
+	}
 	s.mu.Unlock()
 	if len(records) > 0 {
 		s.onChange(records)
