wagsync, wagmesh, wagowner: Spare the store after a power failure of a large site

Change: hosts without a link wait for a random part of 250 ms before they read, hosts whose upstream host is known up to 150 ms, subscribed ones up to 600 ms. Requests wait for the first list of servers up to 1 s after the start, and at most half of the time they have.

TestPowerFailureOfLargeSite failed before.

--- a/wagmesh/scale_test.go
+++ b/wagmesh/scale_test.go
@@ -1,6 +1,7 @@
 package wagmesh
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -67,6 +68,36 @@
 	})
 }
 
+// Guards against a power failure of a large site after which most hosts read the store
+// at once: that takes the store longer than one host of a data centre needs to pass the
+// objects on.
+func TestPowerFailureOfLargeSite(t *testing.T) {
+	const (
+		startDuration = 200 * time.Millisecond
+		maxReadDelay  = 600 * time.Millisecond
+	)
+	runSite(t, 0, nil, func(s *site) {
+		is := is.New(t)
+		s.isFirstStart = false
+		var members []wagroster.Member
+		for n := range largeSiteHosts {
+			for i, dataCentre := range largeSiteDataCentres {
+				members = append(members, testMember(dataCentre, i, n))
+			}
+		}
+		rand.New(rand.NewPCG(1, 0)).Shuffle(len(members), func(a, b int) { members[a], members[b] = members[b], members[a] })
+		for _, m := range members {
+			s.startHost(m)
+			sleep(startDuration / time.Duration(len(members)))
+		}
+		sleep(maxReadDelay)
+		is.True(s.allKnow(1))
+		is.True(s.store.listCount() <= len(members)/4)
+		sleep(5 * time.Second)
+		is.Equal(len(s.followers()), 1)
+	})
+}
+
 // subscribers returns the number of peers to which a host passes changes on.
 func (h *host) subscribers() (n int) {
 	h.mesh.mu.Lock()
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -259,9 +259,11 @@
 		return wagsync.ExpectObjects
 	case ok && upstream.DataCentre == m.self.DataCentre && m.upstream != nil:
 		return wagsync.ExpectTransfer
-	case ok && upstream.DataCentre == m.self.DataCentre, len(m.links) == 0 && m.hasOtherSeeds():
-		// Without a link, the seeds may be starting at the same time.
+	case ok && upstream.DataCentre == m.self.DataCentre:
 		return wagsync.ExpectConnection
+	case len(m.links) == 0 && m.hasOtherSeeds():
+		// The seeds may be starting at the same time.
+		return wagsync.ExpectLink
 	default:
 		return wagsync.ExpectNothing
 	}
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -52,10 +52,14 @@
 const spillCooldown = 500 * time.Millisecond
 
 // StartupWaitTimeout bounds how long after its start a host lets requests wait for the
-// configuration and the list of servers. Hosts that all start at the same time were
-// seen to read them within 0.3 s; a host that takes longer cannot reach the store.
+// configuration, which is small.
 const StartupWaitTimeout = 400 * time.Millisecond
 
+// serversWaitTimeout bounds how long after its start a host lets requests wait for the
+// list of servers. When hundreds of hosts start at the same time, some receive it after
+// 0.8 s.
+const serversWaitTimeout = time.Second
+
 // Owner places requests on servers. It is safe for concurrent use.
 type Owner struct {
 	clock       wagclock.Clock
@@ -72,8 +76,9 @@
 	mu     sync.Mutex
 	groups map[string]*group
 	lastID wagplacement.RequestID
-	// heldRequests holds the requests that arrived before the first list of servers, until
-	// startupDeadline at the latest. startupDone is set when no more are held.
+	// heldRequests holds the requests that arrived before the first list of servers, each
+	// until half of its time has passed, and until startupDeadline at the latest.
+	// startupDone is set when no more are held.
 	heldRequests    []heldRequest
 	startupDeadline time.Time
 	startupDone     bool
@@ -87,6 +92,7 @@
 type heldRequest struct {
 	group   *group
 	request wagplacement.Request
+	until   time.Time
 }
 
 // group is the server group of a service in the data centre of the owner.
@@ -143,7 +149,7 @@
 	for _, option := range opts {
 		option(o)
 	}
-	o.startupDeadline = o.clock.Now().Add(StartupWaitTimeout)
+	o.startupDeadline = o.clock.Now().Add(serversWaitTimeout)
 	return o
 }
 
@@ -189,14 +195,36 @@
 func (o *Owner) finishStartup(now time.Time) {
 	o.startupDone = true
 	for _, e := range o.heldRequests {
-		if _, waiting := e.group.waiters[e.request.ID]; waiting {
-			e.group.scheduler.Submit(now, e.request)
-			o.executeCommands(e.group)
-		}
+		o.submitHeld(now, e)
 	}
 	o.heldRequests = nil
 }
 
+// submitHeld submits a held request unless it was cancelled. The caller must hold o.mu.
+func (o *Owner) submitHeld(now time.Time, e heldRequest) {
+	if _, waiting := e.group.waiters[e.request.ID]; waiting {
+		e.group.scheduler.Submit(now, e.request)
+		o.executeCommands(e.group)
+	}
+}
+
+// submitExpired submits the held requests that have waited long enough. It returns when
+// the next one has, or the zero time. The caller must hold o.mu.
+func (o *Owner) submitExpired(now time.Time) (next time.Time) {
+	o.heldRequests = slices.DeleteFunc(o.heldRequests, func(e heldRequest) bool {
+		if !now.Before(e.until) {
+			o.submitHeld(now, e)
+			return true
+		}
+		if next.IsZero() || e.until.Before(next) {
+			next = e.until
+		}
+		return false
+	})
+	o.startupDone = o.startupDone || !now.Before(o.startupDeadline)
+	return next
+}
+
 // group returns the group of a service and creates it if needed. The caller must hold
 // o.mu.
 func (o *Owner) group(service string) *group {
@@ -227,8 +255,9 @@
 	g.waiters[r.ID] = waiter{reply: reply, since: now}
 	t := Ticket{owner: o, group: g, id: r.ID}
 	if !o.startupDone && !r.Foreign && now.Before(o.startupDeadline) {
-		o.heldRequests = append(o.heldRequests, heldRequest{group: g, request: r})
-		o.scheduleWake(o.startupDeadline)
+		until := wagclock.Earlier(o.startupDeadline, now.Add(r.Deadline.Sub(now)/2))
+		o.heldRequests = append(o.heldRequests, heldRequest{group: g, request: r, until: until})
+		o.scheduleWake(until)
 		return t
 	}
 	g.scheduler.Submit(now, r)
@@ -407,11 +436,7 @@
 	defer o.mu.Unlock()
 	now := o.clock.Now()
 	if len(o.heldRequests) > 0 {
-		if now.Before(o.startupDeadline) {
-			next = o.startupDeadline
-		} else {
-			o.finishStartup(now)
-		}
+		next = o.submitExpired(now)
 	}
 	for _, g := range o.groups {
 		if at := g.scheduler.NextWake(); !at.IsZero() && !at.After(now) {
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -39,10 +39,14 @@
 	// that a host that starts slightly later receives the objects from the first one.
 	// Asking a seed and then a host of the own data centre takes 20 to 50 ms.
 	firstReadDelay = 50 * time.Millisecond
+	// maxLinkDelay bounds how long after the start a host without a link to another one
+	// waits. Each waits for a random part of that, so that in a large data centre few hosts
+	// read the store before the others are linked to them.
+	maxLinkDelay = 250 * time.Millisecond
 	// connectionDelay bounds how long after the start a host waits for objects that it may
 	// get from another one, and transferDelay for those that another one is about to send.
-	connectionDelay = firstReadDelay
-	transferDelay   = 300 * time.Millisecond
+	connectionDelay = 150 * time.Millisecond
+	transferDelay   = 600 * time.Millisecond
 	// firstConnectionDelay and firstTransferDelay replace them at the first start of the
 	// site: no caller waits then, and each read of the store is paid for.
 	firstConnectionDelay = 400 * time.Millisecond
@@ -99,9 +103,10 @@
 	// expectation tells whether another host will send the objects, so that the first
 	// read of the store can wait.
 	expectation func() Expectation
-	// connectionDelay and transferDelay are how long after the start the first read waits
-	// with ExpectConnection and with ExpectTransfer.
-	connectionDelay, transferDelay time.Duration
+	// linkDelay, connectionDelay and transferDelay are how long after the start the first
+	// read waits with ExpectLink, ExpectConnection and ExpectTransfer. With ExpectLink, it
+	// waits for a random part of maxLinkDelay if that is longer.
+	linkDelay, connectionDelay, transferDelay time.Duration
 	// disconnected means that this host does not reach the store. While the host does
 	// not follow the store, it stays set until a ping succeeds.
 	disconnected bool
@@ -140,7 +145,7 @@
 func WithFirstStart(isFirst bool) Option {
 	return func(s *Sync) {
 		if isFirst {
-			s.connectionDelay, s.transferDelay = firstConnectionDelay, firstTransferDelay
+			s.linkDelay, s.connectionDelay, s.transferDelay = firstConnectionDelay, firstConnectionDelay, firstTransferDelay
 		}
 	}
 }
@@ -193,7 +198,10 @@
 const (
 	// ExpectNothing means that no other host is known.
 	ExpectNothing Expectation = iota
-	// ExpectConnection means that another host is being connected to.
+	// ExpectLink means that this host has no link yet, and dials others.
+	ExpectLink
+	// ExpectConnection means that the host that sends changes to this one is being
+	// connected to.
 	ExpectConnection
 	// ExpectTransfer means that this host has subscribed to the changes of another one.
 	ExpectTransfer
@@ -215,6 +223,7 @@
 func (s *Sync) awaitPeers(ctx context.Context) {
 	start := s.clock.Now()
 	next := start.Add(firstReadDelay + rand.N(firstReadDelay))
+	linkBy := start.Add(max(s.linkDelay, rand.N(maxLinkDelay)))
 	for wagclock.Wait(ctx, s.clock, next) && s.HasUnreadKinds() {
 		s.mu.Lock()
 		expectation, connectBy, transferBy := s.expectation, start.Add(s.connectionDelay), start.Add(s.transferDelay)
@@ -227,6 +236,8 @@
 			limit = transferBy
 		case ExpectConnection:
 			limit = connectBy
+		case ExpectLink:
+			limit = linkBy
 		}
 		if !next.Before(limit) {
 			return
