--- a/waghost/site.go
+++ b/waghost/site.go
@@ -148,6 +148,8 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	serversChanged := false
+	// The first list has hundreds of servers; one line says so.
+	isFirstList := len(s.servers) == 0
 	for _, r := range records {
 		if r.Deleted {
 			_, known := s.servers[r.Name]
@@ -165,13 +167,16 @@
 		case *wagsite.Config:
 			s.applyConfig(object)
 		case wagserver.Instance:
-			s.updateServer(r, object)
+			s.updateServer(r, object, isFirstList)
 			serversChanged = true
 		}
 	}
 	if serversChanged {
 		s.setOwnerServers()
 	}
+	if serversChanged && isFirstList {
+		s.log.Info(waglog.KindServer, waglog.Fields{"event": "list", "servers": len(s.servers)})
+	}
 	select {
 	case s.pushPending <- struct{}{}:
 	default:
@@ -221,11 +226,12 @@
 	s.log.Info(waglog.KindConfig, waglog.Fields{"event": "inForce", "version": uint64(c.Version), "copyAgeMs": ms(s.copyAge())})
 }
 
-// updateServer records a server that has registered or changed. s.mu must be held.
-func (s *SiteHost) updateServer(r wagmirror.Record, instance wagserver.Instance) {
+// updateServer records a server that has registered or changed, and logs it unless it is
+// one of the first list. s.mu must be held.
+func (s *SiteHost) updateServer(r wagmirror.Record, instance wagserver.Instance, isFirstList bool) {
 	old, known := s.servers[r.Name]
 	s.servers[r.Name] = instance
-	if known && old.State == instance.State && old.Started.Equal(instance.Started) {
+	if isFirstList || known && old.State == instance.State && old.Started.Equal(instance.Started) {
 		return
 	}
 	if known && !old.Started.Equal(instance.Started) {
