--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -248,8 +248,8 @@
 	m.sync.SetFollowing(m.ctx, m.mustFollow(now, hasUpstream && !isBackup, rank))
 }
 
-// expectation tells whether a host that has just started will receive the objects of the
-// store from another one.
+// expectation returns whether this host, which has just started, will receive the
+// objects of the store from another one.
 func (m *Mesh) expectation() wagsync.Expectation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -56,8 +56,7 @@
 const StartupWaitTimeout = 400 * time.Millisecond
 
 // serversWaitTimeout bounds how long after its start a host lets requests wait for the
-// list of servers. When hundreds of hosts start at the same time, some receive it after
-// 0.8 s.
+// list of servers. Other hosts send it, or the store in several pages.
 const serversWaitTimeout = time.Second
 
 // Owner places requests on servers. It is safe for concurrent use.
--- a/wagplacement/choose.go
+++ b/wagplacement/choose.go
@@ -15,9 +15,8 @@
 	// extraProbeDelay is how long a probe may stay unanswered before another server is
 	// probed instead.
 	extraProbeDelay = 4 * time.Millisecond
-	// maxUnansweredProbes bounds the probes in flight. With more, a host that has just
-	// started and has many requests waiting for the first reports would be too late for
-	// the answers.
+	// maxUnansweredProbes bounds the probes in flight, because a busy host reads the
+	// answers to many of them too late.
 	maxUnansweredProbes = 24
 	// dispatchInterval is the interval at which the search for a server is repeated
 	// while requests wait.
@@ -100,8 +99,7 @@
 }
 
 // candidates holds the servers that may get requests and had a free slot at the start of
-// a dispatch, in the order of byID. While many requests wait, that is much less to search
-// for each of them than all servers.
+// a dispatch, in the order of byID. While many requests wait, few servers have one.
 type candidates struct {
 	free []candidate
 	// ready holds those whose load is known and that do not report to be slow.
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -100,7 +100,7 @@
 	startedAt time.Time
 	// peerConfirmed is when the copy was last complete according to another host.
 	peerConfirmed time.Time
-	// expectation tells whether another host will send the objects, so that the first
+	// expectation returns whether another host will send the objects, so that the first
 	// read of the store can wait.
 	expectation func() Expectation
 	// linkDelay, connectionDelay and transferDelay are how long after the start the first
@@ -140,7 +140,7 @@
 // WithLog replaces the standard logger.
 func WithLog(l logrus.FieldLogger) Option { return func(s *Sync) { s.log = l } }
 
-// WithFirstStart says whether the whole site starts for the first time. A host then waits
+// WithFirstStart sets whether the whole site starts for the first time. A host then waits
 // longer for the objects of others before it reads the store.
 func WithFirstStart(isFirst bool) Option {
 	return func(s *Sync) {
@@ -190,8 +190,8 @@
 	s.log.Info("this host follows the store")
 }
 
-// Expectation tells whether a host that has just started will get the objects from
-// another one.
+// Expectation is the way in which a host that has just started expects to get the
+// objects from another one.
 type Expectation int
 
 // Expectations.
@@ -210,8 +210,8 @@
 	ExpectObjects
 )
 
-// SetExpectation sets the function that tells whether another host will send the objects
-// to this one, which has just started.
+// SetExpectation sets the function that returns whether another host will send the
+// objects to this one, which has just started.
 func (s *Sync) SetExpectation(expectation func() Expectation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
