--- a/wagmesh/mesh_test.go
+++ b/wagmesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/netip"
 	"slices"
 	"strings"
@@ -360,6 +361,32 @@
 	})
 }
 
+// Guards against requests that wait for long at a host that has just started: without
+// other hosts and without the store, half of their time at most, and no longer than
+// their callers.
+func TestWaitForOwnerAtStartIsBounded(t *testing.T) {
+	runSite(t, 0, nil, func(s *site) {
+		is := is.New(t)
+		m := testMember("a", 0, 0)
+		s.store.setRefused(m.Name, true)
+		h := s.startHost(m)
+		began := time.Now()
+		_, granted := h.placeRequest().(wagowner.Granted) // it may know servers from other hosts
+		is.True(granted)
+		is.Equal(time.Since(began), time.Second/2)
+
+		h.stop()
+		s.remove(h)
+		h = s.startHost(m)
+		ctx, leave := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer leave()
+		began = time.Now()
+		_, refused := h.mesh.Place(ctx, testService, wagplacement.Request{Route: "status", Goal: began.Add(time.Second), Deadline: began.Add(time.Second)}).(wagowner.Refused)
+		is.True(refused)
+		is.Equal(time.Since(began), 20*time.Millisecond)
+	})
+}
+
 // rankedTestMembers returns hosts of a data centre in the order in which they take over
 // from its relay.
 func rankedTestMembers(dataCentre string, count int) (ranked []wagroster.Member) {
