wagsync, wagplacement: Read the delay of the first read under its lock, drop an unused argument

Cause: the race detector found a read of linkDelay without the lock, and with it TestFirstReadWaitsForExpectedObjects failed now and then; the linter found that isUsable was called without servers to avoid only.

Change: the delay is read in the loop, under the lock.

Measured: go test -race -count=3 on both packages passes.

--- a/wagplacement/choose.go
+++ b/wagplacement/choose.go
@@ -112,7 +112,7 @@
 		return c
 	}
 	for n, s := range sc.byID {
-		if !s.isUsable(now, nil) || s.stuckCount > 1 || s.occupiedSlots(now) >= sc.concurrencyLimit(s) {
+		if !s.isUsable(now) || s.stuckCount > 1 || s.occupiedSlots(now) >= sc.concurrencyLimit(s) {
 			continue
 		}
 		c.free = append(c.free, candidate{s, n})
@@ -201,7 +201,7 @@
 	n := len(sc.byID)
 	for i := range n {
 		s := sc.byID[(i+sc.searchOffset)%n]
-		if s.probing || !s.isUsable(now, nil) || s.isLoadKnown(now) || s.reportsSlow(now) || s.stuckCount > 1 {
+		if s.probing || !s.isUsable(now) || s.isLoadKnown(now) || s.reportsSlow(now) || s.stuckCount > 1 {
 			continue
 		}
 		occupied := s.occupiedSlots(now)
--- a/wagplacement/mechanism_test.go
+++ b/wagplacement/mechanism_test.go
@@ -24,7 +24,7 @@
 		MechanismExclusion: func(g *group) any {
 			id := g.submit(nil)
 			g.finish(id, FaultBroken)
-			return g.scheduler.servers[g.granted[id]].isUsable(g.now, nil)
+			return g.scheduler.servers[g.granted[id]].isUsable(g.now)
 		},
 		MechanismStuck: func(g *group) any {
 			id := g.submit(nil)
--- a/wagplacement/scheduler_test.go
+++ b/wagplacement/scheduler_test.go
@@ -477,12 +477,12 @@
 	g.finish(other, FaultNone)
 	g.advance(testDeadline - testServiceTime)
 	g.finish(long, FaultTimeout)
-	is.True(s.isUsable(g.now, nil))
+	is.True(s.isUsable(g.now))
 	// Nothing was answered after the next request was sent.
 	silent := g.submit(nil)
 	g.advance(testDeadline)
 	g.finish(silent, FaultTimeout)
-	is.True(!s.isUsable(g.now, nil))
+	is.True(!s.isUsable(g.now))
 }
 
 // Guards against refusals that are logged without the estimated service time of the
@@ -595,9 +595,9 @@
 		g.scheduler.FinishAttempt(g.now, first, report(6))
 		g.scheduler.FinishAttempt(g.now, second, Result{Fault: FaultBroken})
 		g.executeCommands()
-		is.True(!g.scheduler.servers["s0"].isUsable(g.now, nil))
+		is.True(!g.scheduler.servers["s0"].isUsable(g.now))
 		g.advance(resetCooldown)
-		is.True(g.scheduler.servers["s0"].isUsable(g.now, nil))
+		is.True(g.scheduler.servers["s0"].isUsable(g.now))
 	}
 	is.Equal(g.scheduler.servers["s0"].failures, 0)
 	var ids []RequestID
--- a/wagplacement/servers.go
+++ b/wagplacement/servers.go
@@ -153,8 +153,8 @@
 func (s *server) isLive() bool { return s.listed && s.State == wagserver.Live && !s.leaving }
 
 // isUsable reports whether the server may get requests, whatever its load is.
-func (s *server) isUsable(now time.Time, avoid []string) bool {
-	return s.isLive() && !s.isExcluded(now) && !s.rejectedUntil.After(now) && !slices.Contains(avoid, s.ID)
+func (s *server) isUsable(now time.Time) bool {
+	return s.isLive() && !s.isExcluded(now) && !s.rejectedUntil.After(now)
 }
 
 // hasFreshReport reports whether the latest load report is current.
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -223,10 +223,11 @@
 func (s *Sync) awaitPeers(ctx context.Context) {
 	start := s.clock.Now()
 	next := start.Add(firstReadDelay + rand.N(firstReadDelay))
-	linkBy := start.Add(max(s.linkDelay, rand.N(maxLinkDelay)))
+	randomLinkDelay := rand.N(maxLinkDelay)
 	for wagclock.Wait(ctx, s.clock, next) && s.HasUnreadKinds() {
 		s.mu.Lock()
 		expectation, connectBy, transferBy := s.expectation, start.Add(s.connectionDelay), start.Add(s.transferDelay)
+		linkBy := start.Add(max(s.linkDelay, randomLinkDelay))
 		s.mu.Unlock()
 		var limit time.Time
 		switch expectation() {
