wagentry: Move the clock of TestPlannedStop once

Cause of the refused landing: the test moved its clock by readyDelay (2 s) for as long as the caller port was open. A pause of the stopping goroutine between its timer and the closing of the port let ten moves pass, so that the slow request met its deadline of 20 s. The former test also chose its ports by closing them again.

Change: the ports stay open from the choice on, the clock is moved once, when the timer of the delay waits, and the port has to be open until then.

--- a/wagclock/wagclock.go
+++ b/wagclock/wagclock.go
@@ -148,6 +148,18 @@
 	delete(m.timers, t)
 }
 
+// HasTimer reports whether a timer with the deadline is waiting.
+func (m *Manual) HasTimer(deadline time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for t := range m.timers {
+		if t.deadline.Equal(deadline) {
+			return true
+		}
+	}
+	return false
+}
+
 // Advance moves the clock forward by d and fires the timers that are due.
 func (m *Manual) Advance(d time.Duration) {
 	m.mu.Lock()
--- a/wagentry/serve_test.go
+++ b/wagentry/serve_test.go
@@ -15,11 +15,6 @@
 	"github.com/wagtailspar/wagtailspar/wagoutcome"
 )
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress(t *testing.T) netip.AddrPort {
-	return netip.MustParseAddrPort(refusingAddress(t))
-}
-
 // Guards against a graceful shutdown that cuts off a request, stays ready, refuses new
 // connections during the readiness delay, or is not announced to peers.
 func TestPlannedStop(t *testing.T) {
@@ -33,9 +28,13 @@
 		_, _ = io.WriteString(w, "whole")
 	}))
 	clock, announced := wagclock.NewManual(time.Now()), make(chan struct{}, 1)
-	h := newTestHost(t, "a", "", liveServers(address), WithClock(clock), WithShutdownHook(func(context.Context) { announced <- struct{}{} }))
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	listeners, err := Listen(anyPort, anyPort, anyPort)
+	is.NoErr(err)
+	h := newTestHost(t, "a", "", liveServers(address), WithClock(clock), WithListeners(listeners),
+		WithShutdownHook(func(context.Context) { announced <- struct{}{} }))
 	l := &h.settings.Listen
-	l.Caller, l.Forward, l.Operator = freeAddress(t), freeAddress(t), freeAddress(t)
+	l.Caller, l.Forward, l.Operator = ListenerAddress(listeners.Caller), ListenerAddress(listeners.Forward), ListenerAddress(listeners.Operator)
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	servers, err := h.openPorts()
@@ -69,8 +68,14 @@
 	_, text, err := doRequest(t, "GET", l.Caller.String(), "/lots/quick", "")
 	is.NoErr(err)
 	is.Equal(text, "whole")
+	delayEnds := clock.Now().Add(h.settings.Host.ReadyDelay)
+	for !clock.HasTimer(delayEnds) {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(acceptsConnections(l.Caller))
+	clock.Advance(h.settings.Host.ReadyDelay)
 	for acceptsConnections(l.Caller) {
-		clock.Advance(h.settings.Host.ReadyDelay)
+		time.Sleep(time.Millisecond)
 	}
 	is.True(acceptsConnections(l.Forward)) // forwarded requests are in flight
 	close(finish)
