--- a/wagentry/serve_test.go
+++ b/wagentry/serve_test.go
@@ -69,14 +69,10 @@
 	is.NoErr(err)
 	is.Equal(text, "whole")
 	delayEnds := clock.Now().Add(h.settings.Host.ReadyDelay)
-	for !clock.HasTimer(delayEnds) {
-		time.Sleep(time.Millisecond)
-	}
+	waitUntil(func() bool { return clock.HasTimer(delayEnds) })
 	is.True(acceptsConnections(l.Caller))
 	clock.Advance(h.settings.Host.ReadyDelay)
-	for acceptsConnections(l.Caller) {
-		time.Sleep(time.Millisecond)
-	}
+	waitUntil(func() bool { return !acceptsConnections(l.Caller) })
 	is.True(acceptsConnections(l.Forward)) // forwarded requests are in flight
 	close(finish)
 	is.Equal(<-slowBodies, "whole")
@@ -85,6 +81,12 @@
 	is.True(!acceptsConnections(l.Forward))
 }
 
+func waitUntil(condition func() bool) {
+	for !condition() {
+		time.Sleep(time.Millisecond) //nolint:forbidigo // Ports open and close by real time.
+	}
+}
+
 func acceptsConnections(a netip.AddrPort) bool {
 	c, err := net.Dial("tcp", a.String())
 	if err != nil {
