wagmesh: Forward members together, and let owners settle at a start

After a power failure of a large site, 63 to 86 of 474 hosts read the store: hosts without a link read after 50 to 100 ms although the seeds were not up yet, and the others connected to their upstream host only at the next tick, after their wait for it had ended. Each seed forwarded each new host in a frame of its own to each other host. In 6 of 300 race runs two hosts of a data centre became the owner one after the other and both probed. A request whose caller left during the wait for the owner was placed all the same (1 of about 12 race runs of TestWaitForOwnerAtStartIsBounded).

Hosts without a link read between 0.2 and 0.4 s after their start, and a host connects to its upstream host as soon as it knows it. Changed members are forwarded at once, or after 10 ms together. Before it sends a request to the owner or places one as the owner, a host that has just started waits until the owner has not changed for 40 ms.

Ruled out: the longer wait without the connection (96 reads, now by hosts that waited for their upstream host); forwarding every 20 ms without the settled owner (147 of 300 runs with two owners), with it (3 of 300).

--- a/wagmesh/place.go
+++ b/wagmesh/place.go
@@ -9,6 +9,7 @@
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagroster"
 )
 
 // ackTimeout bounds the wait for the owner's decision on a request or its
@@ -21,6 +22,12 @@
 	// the owner of a group. A host that does not know the others yet would take itself for
 	// the owner, and hundreds of them would probe all servers at the same time.
 	startupPlaceTimeout = time.Second
+	// ownerSettleTime is how long the owner of a group must not have changed before such a
+	// host sends it a request, or places one itself as the owner. A changed member may be
+	// forwarded by several hosts in a row: from one seed to the other, and to the hosts
+	// that know only this one. Hosts that start together would become owners one after
+	// the other.
+	ownerSettleTime = 4 * forwardInterval
 	// startupPollInterval is the interval at which such a request checks for the owner.
 	startupPollInterval = 10 * time.Millisecond
 	// linkOpenTimeout bounds the wait of a request for a link to another data centre
@@ -31,6 +38,9 @@
 	linkPollInterval = 2 * time.Millisecond
 )
 
+// maxKnownOwners bounds the groups whose owner is recorded.
+const maxKnownOwners = 1024
+
 // sentRequest is a request that was sent to a peer for placement.
 type sentRequest struct {
 	// acknowledged is closed when the peer has acknowledged that the request waits.
@@ -56,22 +66,22 @@
 		if x := l.placeAtPeer(ctx, service, r, wagclock.Later(m.clock.Now().Add(ackTimeout), startupUntil)); x != nil {
 			return x
 		}
-		if ctx.Err() != nil {
-			return wagowner.Refused{Reason: wagplacement.ReasonDeadline, RetryAt: m.clock.Now()}
-		}
+	}
+	if ctx.Err() != nil {
+		return wagowner.Refused{Reason: wagplacement.ReasonDeadline, RetryAt: m.clock.Now()}
 	}
 	r.OwnerUnreachable = !isOwner
 	return m.owner.Place(ctx, service, r)
 }
 
 // awaitOwnerLink returns what ownerLink does. Until a time shortly after the start of this
-// host, it waits for the link to the owner, and before this host becomes the owner, for
-// the objects of the store, with which it learns of the other hosts.
+// host, it waits until the owner has settled, for the link to it, and before this host
+// becomes the owner, for the objects of the store, with which it learns of the other hosts.
 func (m *Mesh) awaitOwnerLink(ctx context.Context, service string, startupUntil time.Time) (l *link, isOwner bool) {
 	for {
 		l, isOwner = m.ownerLink(service, m.self.DataCentre)
 		now := m.clock.Now()
-		if l != nil || !now.Before(startupUntil) || isOwner && !m.sync.HasUnreadKinds() {
+		if !now.Before(startupUntil) || (l != nil || isOwner && !m.sync.HasUnreadKinds()) && m.isOwnerSettled(now, service) {
 			return l, isOwner
 		}
 		if !wagclock.Wait(ctx, m.clock, wagclock.Earlier(startupUntil, now.Add(startupPollInterval))) {
@@ -80,6 +90,29 @@
 	}
 }
 
+// knownOwner is the owner of a group, as this host knows it since its start.
+type knownOwner struct {
+	name  string
+	since time.Time
+}
+
+// recordOwner records the owner of a group in the data centre of this host; m.mu is held.
+func (m *Mesh) recordOwner(now time.Time, service string) (owner wagroster.Member, ok bool) {
+	owner, ok = m.roster.Owner(service, m.self.DataCentre)
+	if m.knownOwners[service].name != owner.Name && len(m.knownOwners) < maxKnownOwners {
+		m.knownOwners[service] = knownOwner{name: owner.Name, since: now}
+	}
+	return owner, ok
+}
+
+// isOwnerSettled reports whether the owner of a group has not changed for ownerSettleTime.
+func (m *Mesh) isOwnerSettled(now time.Time, service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recordOwner(now, service)
+	return !now.Before(m.knownOwners[service].since.Add(ownerSettleTime))
+}
+
 // PlaceRemote asks the owner of a server group in another data centre to assign a server
 // to a request. It returns nil when the owner is unreachable or does not acknowledge the
 // request.
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -104,6 +104,13 @@
 	// leaderDisconnectedUntil is when the latest report of the own relay that the leader
 	// may be disconnected expires; zero when there is none.
 	leaderDisconnectedUntil time.Time
+	// changedMembers holds the members whose change is not forwarded yet, by name, with the
+	// link on which it came; nil when it came on several. nextForward is when changes may
+	// be forwarded again.
+	changedMembers map[string]*link
+	nextForward    time.Time
+	// knownOwners holds the owners of the groups in the data centre of this host, by service.
+	knownOwners map[string]knownOwner
 	// services are the services to whose owners this host keeps a link.
 	services  []string
 	startedAt time.Time
@@ -144,6 +151,7 @@
 		dial: dialTCP, self: self, roster: wagroster.New(self), links: make(map[string][]*link), dialStates: make(map[netip.AddrPort]*dialState),
 		// Hosts that start together begin with different seeds.
 		nextSeedIndex: int(waglease.Score("seed", self.Name) % maxSeedIndex), encodedUpdates: make(map[updateKey]*Update),
+		changedMembers: make(map[string]*link), knownOwners: make(map[string]knownOwner),
 	}
 	for _, option := range opts {
 		option(m)
@@ -230,7 +238,7 @@
 	self := m.roster.Self()
 	m.updateUpstream(now, upstream, hasUpstream)
 	for _, service := range m.services {
-		if owner, ok := m.roster.Owner(service, self.DataCentre); ok && owner.Name != self.Name {
+		if owner, ok := m.recordOwner(now, service); ok && owner.Name != self.Name {
 			m.ensureLink(now, owner)
 		}
 	}
@@ -392,32 +400,7 @@
 	changed := m.roster.UpdateFromMember(l.peer)
 	m.sendMembers(l, m.roster.Members())
 	if changed {
-		m.forwardMembers(l, []wagroster.Member{l.peer})
-	}
-}
-
-// sendMembers sends those of the members that the peer needs; m.mu is held.
-func (m *Mesh) sendMembers(l *link, members []wagroster.Member) {
-	var list []*Member
-	for _, member := range members {
-		relay, _ := m.roster.Relay(member.DataCentre)
-		if l.needsMember(member, relay.Name == member.Name) {
-			list = append(list, memberMessage(member))
-		}
-	}
-	if len(list) > 0 {
-		l.enqueue(func(f *Frame) { f.Members = append(f.Members, list...) })
-	}
-}
-
-// forwardMembers forwards changed members to the upstream host, to the hosts that
-// opened links to this one, and to those that are subscribed, except to the sender; m.mu
-// is held.
-func (m *Mesh) forwardMembers(from *link, changed []wagroster.Member) {
-	for _, l := range m.allLinks() {
-		if l != from && (l.inbound || l == m.upstream || l.isPeerSubscribed()) {
-			m.sendMembers(l, changed)
-		}
+		m.forwardMember(l, l.peer.Name)
 	}
 }
 
@@ -442,27 +425,3 @@
 		}
 	}
 }
-
-// receiveMembers applies what a peer reports of members and forwards the changes.
-func (m *Mesh) receiveMembers(from *link, list []*Member) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var changed []wagroster.Member
-	for _, message := range list {
-		member, ok := memberFromMessage(message)
-		if !ok {
-			continue
-		}
-		if member.Name == from.peer.Name && m.roster.UpdateFromMember(member) || member.Name != from.peer.Name && m.roster.UpdateFromOthers([]wagroster.Member{member}) {
-			changed = append(changed, member)
-		}
-	}
-	if len(changed) > 0 {
-		m.forwardMembers(from, changed)
-	}
-	if m.upstream == nil && m.ctx.Err() == nil && m.sync.HasUnreadKinds() && m.hasCompletePeer() {
-		now := m.clock.Now()
-		upstream, ok := m.roster.Upstream(now)
-		m.updateUpstream(now, upstream, ok)
-	}
-}
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -39,10 +39,11 @@
 	// that a host that starts slightly later receives the objects from the first one.
 	// Asking a seed and then a host of the own data centre takes 20 to 50 ms.
 	firstReadDelay = 50 * time.Millisecond
-	// maxLinkDelay bounds how long after the start a host without a link to another one
-	// waits. Each waits for a random part of that, so that in a large data centre few hosts
-	// read the store before the others are linked to them.
-	maxLinkDelay = 250 * time.Millisecond
+	// minLinkDelay is how long after the start a host without a link to another one waits.
+	// All hosts of a site restart within about that time after a power failure; those that
+	// find each other first read the store for the others. A random part of up to the same
+	// length is added.
+	minLinkDelay = 200 * time.Millisecond
 	// connectionDelay bounds how long after the start a host waits for objects that it may
 	// get from another one, and transferDelay for those that another one is about to send.
 	connectionDelay = 150 * time.Millisecond
@@ -105,7 +106,7 @@
 	expectation func() Expectation
 	// linkDelay, connectionDelay and transferDelay are how long after the start the first
 	// read waits with ExpectLink, ExpectConnection and ExpectTransfer. With ExpectLink, it
-	// waits for a random part of maxLinkDelay if that is longer.
+	// waits for minLinkDelay and a random part if that is longer.
 	linkDelay, connectionDelay, transferDelay time.Duration
 	// disconnected means that this host does not reach the store. While the host does
 	// not follow the store, it stays set until a ping succeeds.
@@ -223,7 +224,7 @@
 func (s *Sync) awaitPeers(ctx context.Context) {
 	start := s.clock.Now()
 	next := start.Add(firstReadDelay + rand.N(firstReadDelay))
-	randomLinkDelay := rand.N(maxLinkDelay)
+	randomLinkDelay := minLinkDelay + rand.N(minLinkDelay)
 	for wagclock.Wait(ctx, s.clock, next) && s.HasUnreadKinds() {
 		s.mu.Lock()
 		expectation, connectBy, transferBy := s.expectation, start.Add(s.connectionDelay), start.Add(s.transferDelay)
