--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -427,6 +427,29 @@
 	})
 }
 
+// Guards against hosts that read the store although others are about to send the objects,
+// because the first connections of a busy machine took long, and against a wait without
+// end.
+func TestFirstReadWaitsAfterLateConnection(t *testing.T) {
+	run(t, func(is *is.I, f *fixture) {
+		began := time.Now()
+		f.sync.SetExpectation(func() Expectation {
+			switch passed := time.Since(began); {
+			case passed < minLinkDelay-firstReadDelay:
+				return ExpectLink
+			case passed < minLinkDelay+connectionDelay-firstReadDelay:
+				return ExpectConnection
+			default:
+				return ExpectTransfer
+			}
+		})
+		sleep(transferDelay + firstReadDelay)
+		is.Equal(f.store.listCount(), 0)
+		sleep(objectsDelay + firstReadDelay - (transferDelay + firstReadDelay))
+		is.Equal(f.store.listCount(), 2)
+	})
+}
+
 // Guards against hundreds of hosts that all read the store when they start at the same
 // time, before they have found each other, and against hosts that wait for long.
 func TestReadsOfHostsWithoutLinkAreSpread(t *testing.T) {
