wagentry: Keep forward connections open longer than their clients do

Cause: 70 runs at once of TestRepeatsGetTheRecordedResponse (race detector, load average 125) failed once with 502 unknown "connection": a request forwarded to another host was written and got no response, after 0.7 ms, in a run of 15 s. The forward port closed a connection on which no request had come for 10 s, and an idle one after 2 minutes, while the other host keeps both for 5 minutes. A request sent at that moment may have run; one that may run once is answered with an unknown outcome. That the failed run met this moment fits its times and isn't proved.

Change: hosts drop idle connections to each other after 1 minute, and the forward port keeps connections without a request for 2 minutes, like idle ones.

--- a/wagentry/forward_test.go
+++ b/wagentry/forward_test.go
@@ -265,7 +265,7 @@
 // Guards against more connections to a server than this host's share of them.
 func TestConnectionShare(t *testing.T) {
 	is := is.New(t)
-	ep := newPool().get(liveServer(newRawServer(t, respondWith(okResponse)).address).Address, 2, func(int) {})
+	ep := newPool(idleConnTimeout).get(liveServer(newRawServer(t, respondWith(okResponse)).address).Address, 2, func(int) {})
 	first, err := ep.dial(t.Context())
 	is.NoErr(err)
 	_, err = ep.dial(t.Context())
--- a/wagentry/pool.go
+++ b/wagentry/pool.go
@@ -19,6 +19,10 @@
 	// idleConnTimeout is how long an idle connection is kept, because a new one takes
 	// about 1 ms to open.
 	idleConnTimeout = 5 * time.Minute
+	// hostIdleConnTimeout is how long an idle connection to another host is kept. It is
+	// shorter than that host keeps it: a request that is sent while the other end closes
+	// the connection may have run, and a request that may run once is not sent again.
+	hostIdleConnTimeout = time.Minute
 	// continueTimeout bounds how long a body is held back for the 100 (Continue) of a
 	// server.
 	continueTimeout = time.Second
@@ -31,6 +35,8 @@
 
 // pool holds the persistent connections to servers or to other hosts.
 type pool struct {
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout time.Duration
 	// dial opens a connection.
 	dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 
@@ -59,8 +65,8 @@
 	removed bool
 }
 
-func newPool() *pool {
-	return &pool{dial: dialTCP, endpoints: make(map[netip.AddrPort]*endpoint)}
+func newPool(idleTimeout time.Duration) *pool {
+	return &pool{idleTimeout: idleTimeout, dial: dialTCP, endpoints: make(map[netip.AddrPort]*endpoint)}
 }
 
 func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
@@ -73,7 +79,7 @@
 	defer p.mu.Unlock()
 	ep, ok := p.endpoints[address]
 	if !ok {
-		ep = newEndpoint(func(ctx context.Context) (net.Conn, error) { return p.dial(ctx, address) }, address.String(), onConnectionChange)
+		ep = newEndpoint(func(ctx context.Context) (net.Conn, error) { return p.dial(ctx, address) }, address.String(), p.idleTimeout, onConnectionChange)
 		p.endpoints[address] = ep
 	}
 	ep.setLimit(maxConns)
@@ -94,13 +100,13 @@
 	}
 }
 
-func newEndpoint(connect func(context.Context) (net.Conn, error), address string, onConnectionChange func(change int)) *endpoint {
+func newEndpoint(connect func(context.Context) (net.Conn, error), address string, idleTimeout time.Duration, onConnectionChange func(change int)) *endpoint {
 	ep := &endpoint{connect: connect, address: address, onConnectionChange: onConnectionChange, slotFreed: make(chan struct{})}
 	ep.transport = &http.Transport{
 		DialContext:            func(ctx context.Context, _, _ string) (net.Conn, error) { return ep.dial(ctx) },
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxForwardConnections,
-		IdleConnTimeout:        idleConnTimeout,
+		IdleConnTimeout:        idleTimeout,
 		ExpectContinueTimeout:  continueTimeout,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
--- a/wagentry/serve.go
+++ b/wagentry/serve.go
@@ -22,7 +22,8 @@
 	// writeTimeout bounds the writing of responses to which no deadline of a request
 	// applies.
 	writeTimeout = 30 * time.Second
-	// idleTimeout is how long an idle connection of a client is kept.
+	// idleTimeout is how long an idle connection of a client is kept. It exceeds
+	// hostIdleConnTimeout.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the header of a request.
 	maxHeaderBytes = 64 << 10
@@ -82,7 +83,7 @@
 	}
 	return &ports{
 		callerServer: newServer(px.callerHandler()), callerListener: px.wrapListener(CallerPort, l.Caller),
-		forwardServer: newServer(px.forwardHandler()), forwardListener: px.wrapListener(ForwardPort, l.Forward),
+		forwardServer: newForwardServer(px.forwardHandler()), forwardListener: px.wrapListener(ForwardPort, l.Forward),
 		operatorServer: newServer(px.operatorHandler()), operatorListener: px.wrapListener(OperatorPort, l.Operator),
 	}, nil
 }
@@ -91,6 +92,14 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
+// newForwardServer returns the HTTP server of the forward port. Other hosts keep a
+// connection on which they have not sent a request yet, like any idle one.
+func newForwardServer(h http.Handler) *http.Server {
+	s := newServer(h)
+	s.ReadHeaderTimeout = idleTimeout
+	return s
+}
+
 // shutdown stops the proxy in an order that cuts off no request in flight within the
 // setting stopTime. The forward port accepts connections until the requests on the
 // caller port have finished, and then finishes the forwarded requests as well.
--- a/wagentry/wagentry.go
+++ b/wagentry/wagentry.go
@@ -99,7 +99,7 @@
 	wakeups := make(chan struct{}, 1)
 	px := &Proxy{
 		settings: s, wrapListener: func(_ Port, l net.Listener) net.Listener { return l }, clock: wagclock.System{}, log: logrus.StandardLogger(),
-		budgets: wagretry.NewBudgets(), serverPool: newPool(), hostPool: newPool(),
+		budgets: wagretry.NewBudgets(), serverPool: newPool(idleConnTimeout), hostPool: newPool(hostIdleConnTimeout),
 		requestIDPrefix: strconv.FormatUint(rand.Uint64(), 36) + "-", wakeups: wakeups, wakeupSignal: wakeups, seed: rand.Uint64(),
 		observer: discardObservations{}, isFresh: func(time.Time) bool { return true },
 	}
