--- a/wagmesh/members_test.go
+++ b/wagmesh/members_test.go
@@ -1,6 +1,8 @@
 package wagmesh
 
 import (
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,3 +83,82 @@
 		}
 	})
 }
+
+// Guards against hosts that never learn of a member: one that is known only to the
+// upstream host, over a link that the upstream host opened. Such a host keeps a former
+// owner, and two hosts assign requests to the same servers.
+func TestMemberKnownOnlyToUpstreamHost(t *testing.T) {
+	runSite(t, 0, nil, func(s *site) {
+		is := is.New(t)
+		ranked := rankedTestMembers("a", 3)
+		first, second, last := ranked[0], ranked[1], ranked[2]
+		s.startHost(last)
+		s.seeds = []netip.AddrPort{last.Address}
+		s.startHost(second) // dials the last one, which subscribes on this link
+		sleep(5 * time.Second)
+		s.seeds = []netip.AddrPort{second.Address}
+		s.startHost(first)
+		sleep(5 * time.Second)
+		for _, h := range s.hosts {
+			is.Equal(len(h.mesh.Members()), 3)
+			relay, _ := h.relayOf("a")
+			is.Equal(relay.Name, first.Name)
+		}
+	})
+}
+
+// Guards against members that became known between the opening of a link and the
+// subscription on it: here while the former upstream host is silent.
+func TestMembersAreSentToSubscribers(t *testing.T) {
+	runSite(t, 0, nil, func(s *site) {
+		is := is.New(t)
+		ranked := rankedTestMembers("a", 4)
+		first, second, third, last := ranked[0], ranked[1], ranked[2], ranked[3]
+		s.startHost(last)
+		s.seeds = []netip.AddrPort{last.Address}
+		s.startHost(second)
+		s.startHost(third)
+		sleep(5 * time.Second)
+		s.setSilent(s.findHost(second.Name), true)
+		s.seeds = []netip.AddrPort{third.Address}
+		s.startHost(first)
+		sleep(5 * time.Second)
+		for _, h := range s.hosts {
+			if h.member.Name == second.Name {
+				continue
+			}
+			relay, _ := h.relayOf("a")
+			is.Equal(relay.Name, first.Name)
+		}
+	})
+}
+
+// rankedTestMembers returns hosts of a data centre in the order in which they take over
+// from its relay.
+func rankedTestMembers(dataCentre string, count int) (ranked []wagroster.Member) {
+	var members []wagroster.Member
+	for n := range count {
+		members = append(members, testMember(dataCentre, 0, n))
+	}
+	for len(members) > 0 {
+		r := wagroster.New(members[0])
+		r.UpdateFromOthers(members[1:])
+		relay, _ := r.Relay(dataCentre)
+		ranked = append(ranked, relay)
+		members = slices.DeleteFunc(members, func(m wagroster.Member) bool { return m.Name == relay.Name })
+	}
+	return ranked
+}
+
+// Guards against members without a name, a data centre or a valid address in the reports
+// of other hosts.
+func TestInvalidMembersAreRejected(t *testing.T) {
+	is := is.New(t)
+	good := memberMessage(wagroster.Member{Name: "a1", DataCentre: "a", Address: testMember("a", 0, 1).Address})
+	_, ok := memberFromMessage(good)
+	is.True(ok)
+	for _, m := range []*Member{nil, {}, {Name: "a1", DataCentre: "a", Address: "x"}, {DataCentre: "a", Address: good.GetAddress()}, {Name: "a1", Address: good.GetAddress()}} {
+		_, ok := memberFromMessage(m)
+		is.True(!ok)
+	}
+}
