--- a/review/rig/rig_test.go
+++ b/review/rig/rig_test.go
@@ -440,18 +440,9 @@
 // launch starts the processes that startGateways prepared.
 func (r *rig) launch() error {
 	for _, g := range r.gateways {
-		out, err := os.Create(filepath.Join(r.dir, g.name+".log"))
-		if err != nil {
-			return err
-		}
-		g.cmd = exec.Command("target/wagtailspar", "gateway")
-		g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.dir, "WAGTAILSPAR_CONFIG=" + filepath.Join(r.dir, g.name+".json")}
-		g.cmd.Stdout, g.cmd.Stderr = out, out
-		g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := g.cmd.Start(); err != nil {
+		if err := r.startProcess(g); err != nil {
 			return err
 		}
-		r.logf("started %s, process %d, callers at %s", g.name, g.cmd.Process.Pid, g.front)
 	}
 	deadline := time.Now().Add(10 * time.Second)
 	for _, g := range r.gateways {
@@ -473,6 +464,33 @@
 	return nil
 }
 
+// startProcess starts the process of an entry host, with the settings that were written.
+func (r *rig) startProcess(g *gateway) error {
+	out, err := os.OpenFile(filepath.Join(r.dir, g.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	g.cmd = exec.Command("target/wagtailspar", "gateway")
+	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + r.dir, "WAGTAILSPAR_CONFIG=" + filepath.Join(r.dir, g.name+".json")}
+	g.cmd.Stdout, g.cmd.Stderr = out, out
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := g.cmd.Start(); err != nil {
+		return err
+	}
+	r.logf("started %s, process %d, callers at %s", g.name, g.cmd.Process.Pid, g.front)
+	return nil
+}
+
+// gateway returns the entry host with a name.
+func (r *rig) gateway(name string) *gateway {
+	for _, g := range r.gateways {
+		if g.name == name {
+			return g
+		}
+	}
+	return nil
+}
+
 func (g *gateway) kill() {
 	if g.cmd == nil || g.cmd.Process == nil {
 		return
