wagmesh: Log the upstream host of a host and the age of its copy

The logs did not show from which host another one received the changes of the store, nor why hosts waited with an old copy: an upstream host that is cut off, one that is slow, and a copy that only counts as fresh looked the same.

A line is written when the upstream host changes and when the link to it ends, with the age of the copy.

--- a/wagmesh/fuzz_test.go
+++ b/wagmesh/fuzz_test.go
@@ -73,6 +73,6 @@
 			}
 		default:
 		}
-		l.release()
+		l.release(nil)
 	})
 }
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -125,7 +125,8 @@
 }
 
 // runLink sends and receives frames until the link ends.
-func (m *Mesh) runLink(ctx context.Context, l *link, s stream) error {
+func (m *Mesh) runLink(ctx context.Context, l *link, s stream) (err error) {
+	defer func() { l.release(err) }()
 	m.mu.Lock()
 	hello := &Hello{Self: memberMessage(m.roster.Self())}
 	m.mu.Unlock()
@@ -133,14 +134,13 @@
 	// the store from others.
 	b := &Beat{Complete: m.completeMessages(), Disconnected: m.sync.IsDisconnected()}
 	l.enqueue(func(f *Frame) { f.Hello, f.Beat = hello, b })
-	defer l.release()
 	// Recv does not end with ctx when the peer is silent.
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return l.sendFrames(gctx, s) })
 	g.Go(func() error { return l.receiveFrames(gctx, s) })
-	err := g.Wait()
+	err = g.Wait()
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
 	}
@@ -472,8 +472,8 @@
 
 // release removes the ended link, cancels the requests and attempts of the peer, and
 // ends the requests that were sent to it.
-func (l *link) release() {
-	l.mesh.removeLink(l)
+func (l *link) release(cause error) {
+	l.mesh.removeLink(l, cause)
 	l.mu.Lock()
 	l.closed = true
 	tickets, finishers, requests := l.waitingTickets, l.grantFinishers, l.sentRequests
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -368,6 +368,9 @@
 	if newUpstream == m.upstream && !unsubscribe || newUpstream == nil && hasUpstream {
 		return
 	}
+	if newUpstream != m.upstream {
+		m.logUpstream(now, newUpstream)
+	}
 	m.upstream, m.subscribedToOthers = newUpstream, m.subscribedToOthers && !unsubscribe
 	if newUpstream != nil {
 		newUpstream.setSubscribed(true)
@@ -379,6 +382,22 @@
 	}
 }
 
+// logUpstream logs from which host this one receives changes from now on. None is named
+// when it is the leader, which follows the store itself; m.mu is held.
+func (m *Mesh) logUpstream(now time.Time, upstream *link) {
+	fields := logrus.Fields{"upstream": "", "copyAgeMs": m.copyAge(now).Milliseconds()}
+	if upstream != nil {
+		fields["upstream"] = upstream.peer.Name
+	}
+	m.log.WithFields(fields).Info("the upstream host has changed")
+}
+
+// copyAge returns how long ago the copy of the store's objects was known to be complete,
+// or the time since the start if it never was.
+func (m *Mesh) copyAge(now time.Time) time.Duration {
+	return now.Sub(wagclock.Later(m.sync.ConfirmedAt(), m.startedAt))
+}
+
 // linkTo returns the latest open link to a host, or nil; m.mu is held.
 func (m *Mesh) linkTo(name string) *link {
 	list := m.links[name]
@@ -406,7 +425,7 @@
 
 // removeLink removes a link that has ended. A peer without any other link counts as
 // unreachable, unless the link was closed because it was not needed.
-func (m *Mesh) removeLink(l *link) {
+func (m *Mesh) removeLink(l *link, cause error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := m.links[l.peer.Name]
@@ -417,6 +436,7 @@
 	}
 	if m.upstream == l {
 		m.upstream = nil
+		m.log.WithError(cause).WithFields(logrus.Fields{"peer": l.peer.Name, "copyAgeMs": m.copyAge(m.clock.Now()).Milliseconds()}).Info("the link to the upstream host has ended")
 	}
 	if len(m.links[l.peer.Name]) == 0 {
 		delete(m.links, l.peer.Name)
