wagsync: Confirm copies only by responses of the store

Cause: a host that follows the store counted its copy as confirmed while a request was in flight. The cut relay followed the store after 2.4 s, and its first request, never answered, confirmed the copies of all hosts of its data centre anew; its own confirmations came back to it, so that it stopped again.

A copy is now confirmed by responses of the store only, for the time that they prove and for the kinds whose changes they cover. Confirmations are passed on at once, and not back on the link on which they came. When a host acts on the age of its copy is derived from the bounds of the site in one place (wagroster.Freshness): from half of the bound it subscribes at the hosts that follow the store next, and the hosts of a data centre follow it in growing groups, all before 0.875 of the bound. So it does not matter why nothing comes. The relays that followed the store beside a lead that may be disconnected, and the heartbeat field for it, are gone: the age covers them. TestBackupFollowersAfterLoss tested that function; what it guarded against is tested by TestFreshnessKeepsTheApplyTimeout (relays act at the same age, and stop with the next confirmation), TestStoreMayBeDown and, for whole sites, the unchanged TestSeveralRelaysLoseTheStore and TestAllRelaysLoseTheStore.

Before: TestRequestInFlightConfirmsNothing and all five cases of TestRelayIsCutOffFromStoreAndOtherDataCentres failed.

--- a/waghost/site.go
+++ b/waghost/site.go
@@ -57,6 +57,9 @@
 	FirstStart bool
 	// GracePeriod bounds a graceful shutdown.
 	GracePeriod time.Duration
+	// ApplyTimeout is the time within which a change of the store has to be in force; 0 for
+	// wagroster.DefaultApplyTimeout.
+	ApplyTimeout time.Duration
 	// Limits bound the retries and probes of the server groups that this host owns.
 	Limits wagowner.Limits
 }
@@ -118,6 +121,7 @@
 		MilliCores: settings.MilliCores,
 	}
 	s.mesh = wagmesh.New(self, s.sync, s.owner, wagmesh.WithClock(s.clock), wagmesh.WithLog(s.log.Logger()),
+		wagmesh.WithFreshness(wagroster.NewFreshness(settings.ApplyTimeout)),
 		wagmesh.WithSeeds(func() []netip.AddrPort { return *s.seeds.Load() }))
 	s.seeds.Store(&settings.Seeds)
 	s.owner.SetRemotePlaceFunc(s.mesh.PlaceRemote)
--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,11 @@
 	conns     []*conn
 	// silent holds the hosts whose packets are dropped in both directions.
 	silent map[netip.Addr]bool
+	// suspended holds the hosts whose processes stand still: connections to them open, and
+	// nobody reads or answers what is sent on them.
+	suspended map[netip.Addr]bool
+	// isolated holds the hosts whose packets from and to other data centres are dropped.
+	isolated map[netip.Addr]bool
 	// bytes counts the bytes sent, by sender and receiver.
 	bytes map[[2]netip.Addr]int
 	// writes counts the writes to connections, by sender.
@@ -37,7 +43,15 @@
 }
 
 func newNetwork() *network {
-	return &network{listeners: make(map[netip.AddrPort]*listener), silent: make(map[netip.Addr]bool), bytes: make(map[[2]netip.Addr]int), writes: make(map[netip.Addr]int)}
+	return &network{listeners: make(map[netip.AddrPort]*listener), silent: make(map[netip.Addr]bool), suspended: make(map[netip.Addr]bool), isolated: make(map[netip.Addr]bool), bytes: make(map[[2]netip.Addr]int), writes: make(map[netip.Addr]int)}
+}
+
+// drops reports whether packets between two hosts are dropped; n.mu is held.
+func (n *network) drops(a, b netip.Addr) bool {
+	if n.silent[a] || n.silent[b] || n.suspended[a] || n.suspended[b] {
+		return true
+	}
+	return a.As4()[1] != b.As4()[1] && (n.isolated[a] || n.isolated[b])
 }
 
 type listener struct {
@@ -78,8 +92,12 @@
 func (n *network) dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[to]
-	silent := n.silent[from] || n.silent[to.Addr()]
+	silent, suspended := n.drops(from, to.Addr()), n.suspended[to.Addr()] && !n.suspended[from]
 	n.mu.Unlock()
+	if suspended {
+		a, _ := newPair(n, from, to.Addr())
+		return a, nil
+	}
 	if silent {
 		select {
 		case <-ctx.Done():
@@ -145,7 +163,7 @@
 			return 0, net.ErrClosed
 		case <-c.peerClosed:
 			c.network.mu.Lock()
-			silent := c.network.silent[c.from] || c.network.silent[c.to]
+			silent := c.network.drops(c.from, c.to)
 			c.network.mu.Unlock()
 			if !silent {
 				return 0, io.EOF
@@ -163,7 +181,7 @@
 	default:
 	}
 	c.network.mu.Lock()
-	silent := c.network.silent[c.from] || c.network.silent[c.to]
+	silent := c.network.drops(c.from, c.to)
 	c.network.bytes[[2]netip.Addr{c.from, c.to}] += len(p)
 	c.network.writes[c.from]++
 	c.network.mu.Unlock()
@@ -373,6 +391,35 @@
 	s.network.silent[h.member.Address.Addr()] = silent
 }
 
+// setIsolated cuts a host off from the store and from the hosts of other data centres, or
+// connects it again.
+func (s *site) setIsolated(h *host, isolated bool) {
+	s.network.mu.Lock()
+	s.network.isolated[h.member.Address.Addr()] = isolated
+	s.network.mu.Unlock()
+	s.store.setSilent(h.member.Name, isolated)
+}
+
+// ranked returns the hosts of a data centre in the order in which they take over from
+// its relay, as all of them see it.
+func (s *site) ranked(dataCentre string) []*host {
+	list := make([]*host, 0, len(s.hosts))
+	for _, h := range s.hosts {
+		if h.member.DataCentre == dataCentre {
+			list = append(list, h)
+		}
+	}
+	slices.SortFunc(list, func(a, b *host) int { return a.rank() - b.rank() })
+	return list
+}
+
+// rank returns the rank of a host in its data centre, as it sees it.
+func (h *host) rank() int {
+	h.mesh.mu.Lock()
+	defer h.mesh.mu.Unlock()
+	return h.mesh.roster.Rank()
+}
+
 // placeRequest asks for a server at a host.
 func (h *host) placeRequest() wagowner.Outcome {
 	now := time.Now()
--- a/wagmesh/fuzz_test.go
+++ b/wagmesh/fuzz_test.go
@@ -23,7 +23,7 @@
 func FuzzFrame(f *testing.F) {
 	seeds := []*Frame{
 		{Hello: &Hello{Self: &Member{Name: "b1", DataCentre: "b", Address: "10.0.0.1:1"}}},
-		{Beat: &Beat{Complete: []*Complete{{Kind: testKind, Revision: 1 << 63}}, Disconnected: true, Lost: true}},
+		{Beat: &Beat{Complete: []*Complete{{Kind: testKind, Revision: 1 << 63}}, Disconnected: true, StoreMayBeDown: true}},
 		{Members: []*Member{{Name: "a1"}, {Name: "a1", DataCentre: "a", Address: "10.0.0.1:70000"}, nil}},
 		{Updates: []*Update{{Kind: testKind, Full: true, At: 3, Compressed: []byte("no deflate")}, {Kind: "none"}, nil}},
 		{Places: []*Place{{Id: 1, Service: testService, GoalLeft: -1 << 31, DeadlineLeft: 1<<32 - 1, Rank: 1<<32 - 1, Avoid: []string{""}}}, Cancels: []uint64{1, 2}},
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
@@ -67,6 +68,9 @@
 	// peerRevisions holds, for each kind, the revision up to which the peer's copy is
 	// complete.
 	peerRevisions map[string]wagmirror.Revision
+	// peerConfirmedAt is when the peer's copy was last confirmed, as far as it said or was
+	// told so on the link.
+	peerConfirmedAt time.Time
 	// sentRequests holds the requests that the peer has not decided on yet, by ID.
 	sentRequests map[uint64]*sentRequest
 	// lastRequestID is the ID of the latest request that was sent.
@@ -363,18 +367,22 @@
 	subscribed := l.subscribed
 	l.mu.Unlock()
 	if subscribed && l.inSameDataCentre() {
-		l.mesh.recordRelayReport(now, b.GetLost())
+		l.mesh.recordStoreReport(now, b.GetStoreMayBeDown())
 	}
 	if b.ConfirmedAge == nil || !l.exchangesUpdates() {
 		return
 	}
+	confirmed := now.Add(-milliseconds(int64(b.GetConfirmedAge())))
+	l.mu.Lock()
+	l.peerConfirmedAt = wagclock.Later(l.peerConfirmedAt, confirmed)
+	l.mu.Unlock()
 	for _, c := range b.GetComplete() {
 		if complete[c.GetKind()] < wagmirror.Revision(c.GetRevision()) {
 			// Changes that the peer already has are still in transit.
 			return
 		}
 	}
-	l.mesh.sync.RecordPeerConfirmation(now.Add(-milliseconds(int64(b.GetConfirmedAge()))))
+	l.mesh.recordConfirmation(l, confirmed)
 }
 
 // pushUpdates sends the changes that the peer's copy lacks. complete holds the revision
@@ -439,15 +447,28 @@
 // is held.
 func (l *link) sendHeartbeat(now time.Time) {
 	s := l.mesh.sync
-	b := &Beat{Disconnected: s.IsDisconnected(), Lost: l.inSameDataCentre() && l.mesh.leaderMayBeDisconnected}
-	if l.exchangesUpdates() {
+	b := &Beat{Disconnected: s.IsDisconnected(), StoreMayBeDown: l.inSameDataCentre() && l.mesh.storeMayBeDown}
+	at := l.mesh.confirmationFor(l)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.subscribed || l.peerSubscribed {
 		b.Complete = l.mesh.completeMessages()
-		if at := s.ConfirmedAt(); !at.IsZero() {
-			age := uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+		if !at.IsZero() {
+			// Rounded up, so that no hop makes a copy look fresher than it is.
+			age := uint32(min(max(now.Sub(at).Milliseconds()+1, 0), math.MaxUint32))
 			b.ConfirmedAge = &age
+			l.peerConfirmedAt = wagclock.Later(l.peerConfirmedAt, at)
 		}
 	}
-	l.enqueue(func(f *Frame) { f.Beat = b })
+	l.enqueueLocked(func(f *Frame) { f.Beat = b })
+}
+
+// needsConfirmation reports whether the peer is to be told at once when the copy of this
+// host was confirmed.
+func (l *link) needsConfirmation(confirmed time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return (l.subscribed || l.peerSubscribed) && confirmed.Sub(l.peerConfirmedAt) > minConfirmationGain
 }
 
 // completeMessages returns the revisions up to which the copy of this host is complete.
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -35,9 +35,8 @@
 	// expensive.
 	localHeartbeatInterval  = 400 * time.Millisecond
 	remoteHeartbeatInterval = 400 * time.Millisecond
-	// silenceTimeout is how long a link may receive no frame before it is closed.
-	// Another host then has to follow the store in time for a change to be in force
-	// within 2 s.
+	// silenceTimeout is how long a link may receive no frame before it is closed. Hosts
+	// with an old copy ask others before that (wagroster.Freshness).
 	silenceTimeout = 1200 * time.Millisecond
 	// dialRetryDelay is the delay before a host is dialled again. It is multiplied by
 	// the number of failures in a row.
@@ -59,11 +58,6 @@
 	// the store itself. All hosts of a site start within 0.3 s of each other, and
 	// restart within about the same time when all of them have failed.
 	startupFollowDelay = time.Second
-	// relayFollowDelay is how old the last confirmation of the copy may be before a
-	// relay follows the store itself. Each standby host of the data centre waits for
-	// standbyFollowDelay longer than the one before.
-	relayFollowDelay   = 2500 * time.Millisecond
-	standbyFollowDelay = 1500 * time.Millisecond
 	// maxFrameBytes bounds a frame. The objects of 1,000 servers have 300 bytes each,
 	// and a configuration has up to 1 MB.
 	maxFrameBytes = 4 << 20
@@ -96,14 +90,21 @@
 	// upstream is the link on which this host receives changes, or nil.
 	upstream *link
 	// subscribedToOthers is set when this host has subscribed at others than its upstream
-	// host after its start.
+	// host, after its start or because its copy was too old.
 	subscribedToOthers bool
-	// selfDisconnected and leaderMayBeDisconnected are the state of this host and of the
-	// leader at the latest tick. Peers are notified at once when it changes.
-	selfDisconnected, leaderMayBeDisconnected bool
-	// leaderDisconnectedUntil is when the latest report of the own relay that the leader
-	// may be disconnected expires; zero when there is none.
-	leaderDisconnectedUntil time.Time
+	// confirmations holds what other hosts confirmed of the copy of this one.
+	confirmations confirmations
+	// freshness tells when this host acts on the age of its copy.
+	freshness wagroster.Freshness
+	// followUntil is until when this host at least follows the store because its copy was
+	// too old.
+	followUntil time.Time
+	// selfDisconnected and storeMayBeDown are the state of this host and of the store at
+	// the latest tick. Peers are notified at once when it changes.
+	selfDisconnected, storeMayBeDown bool
+	// storeDownUntil is when the latest report of the upstream host that the store is
+	// probably down expires.
+	storeDownUntil time.Time
 	// changedMembers holds the members whose change is not forwarded yet, by name, with the
 	// link on which it came; nil when it came on several. nextForward is when changes may
 	// be forwarded again.
@@ -144,6 +145,9 @@
 // WithSeeds sets the addresses of the hosts through which this one finds the others.
 func WithSeeds(seeds func() []netip.AddrPort) Option { return func(m *Mesh) { m.seeds = seeds } }
 
+// WithFreshness sets when this host acts on the age of its copy.
+func WithFreshness(f wagroster.Freshness) Option { return func(m *Mesh) { m.freshness = f } }
+
 // New returns a mesh without links. Run opens them.
 func New(self wagroster.Member, s *wagsync.Sync, o *wagowner.Owner, opts ...Option) *Mesh {
 	m := &Mesh{
@@ -152,6 +156,7 @@
 		// Hosts that start together begin with different seeds.
 		nextSeedIndex: int(waglease.Score("seed", self.Name) % maxSeedIndex), encodedUpdates: make(map[updateKey]*Update),
 		changedMembers: make(map[string]*link), knownOwners: make(map[string]knownOwner),
+		freshness: wagroster.NewFreshness(0),
 	}
 	for _, option := range opts {
 		option(m)
@@ -178,6 +183,7 @@
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	m.group, m.ctx = errgroup.WithContext(ctx)
 	m.sync.SetExpectation(m.expectation)
+	m.sync.SetConfirmationHandler(m.pushConfirmation)
 	m.group.Go(func() error {
 		err := server.Serve(m.ctx, l)
 		if ctx.Err() != nil || m.ctx.Err() != nil {
@@ -187,8 +193,7 @@
 	})
 	m.group.Go(func() error {
 		for m.ctx.Err() == nil {
-			m.tick()
-			wagclock.Wait(m.ctx, m.clock, m.clock.Now().Add(tickInterval))
+			wagclock.Wait(m.ctx, m.clock, m.tick())
 		}
 		return nil
 	})
@@ -230,13 +235,14 @@
 }
 
 // tick checks the roles of this host, its links, and whether it has to follow the
-// store.
-func (m *Mesh) tick() {
+// store. It returns when the next tick is due.
+func (m *Mesh) tick() time.Time {
 	now := m.clock.Now()
 	m.mu.Lock()
 	upstream, hasUpstream := m.roster.Upstream(now)
 	self := m.roster.Self()
 	m.updateUpstream(now, upstream, hasUpstream)
+	m.updateFallbacks(now, upstream, hasUpstream)
 	for _, service := range m.services {
 		if owner, ok := m.recordOwner(now, service); ok && owner.Name != self.Name {
 			m.ensureLink(now, owner)
@@ -246,14 +252,18 @@
 	for _, member := range m.roster.DueRetries(now) {
 		m.startDial(now, member.Address)
 	}
-	rank := m.roster.Rank()
 	m.updateOwnStoreState(now)
-	isBackup := m.isBackupFollower(now, rank)
 	for _, l := range m.allLinks() {
 		l.tick(now)
 	}
+	follow, followAt := m.mustFollow(now, hasUpstream)
 	m.mu.Unlock()
-	m.sync.SetFollowing(m.ctx, m.mustFollow(now, hasUpstream && !isBackup, rank))
+	m.sync.SetFollowing(m.ctx, follow)
+	next := now.Add(tickInterval)
+	if followAt.After(now) {
+		next = wagclock.Earlier(next, followAt)
+	}
+	return next
 }
 
 // expectation returns whether this host, which has just started, will receive the
@@ -287,38 +297,30 @@
 	return slices.ContainsFunc(m.seeds(), func(seed netip.AddrPort) bool { return seed != m.self.Address })
 }
 
-// updateOwnStoreState checks whether this host or the leader is disconnected from the
-// store, and sends heartbeats at once when that changes; m.mu is held.
+// updateOwnStoreState checks whether this host is disconnected from the store and
+// whether that is probably down, and sends heartbeats at once when that changes; m.mu is
+// held.
 func (m *Mesh) updateOwnStoreState(now time.Time) {
 	disconnected := m.sync.IsDisconnected()
 	m.roster.SetDisconnected(now, m.self.Name, disconnected)
-	leaderMayBeDisconnected := m.roster.LeaderMayBeDisconnected(now)
-	if disconnected == m.selfDisconnected && leaderMayBeDisconnected == m.leaderMayBeDisconnected {
+	mayBeDown := m.roster.StoreMayBeDown(now)
+	if disconnected == m.selfDisconnected && mayBeDown == m.storeMayBeDown {
 		return
 	}
-	m.selfDisconnected, m.leaderMayBeDisconnected = disconnected, leaderMayBeDisconnected
+	m.selfDisconnected, m.storeMayBeDown = disconnected, mayBeDown
 	for _, l := range m.allLinks() {
 		l.sendHeartbeat(now)
 	}
 }
 
-// isBackupFollower reports whether this host follows the store beside the leader: as a
-// relay, or as the first standby of its data centre; m.mu is held.
-func (m *Mesh) isBackupFollower(now time.Time, rank int) bool {
-	if rank == 0 {
-		return m.roster.IsBackupFollower(now)
-	}
-	return rank == 1 && now.Before(m.leaderDisconnectedUntil) && !m.selfDisconnected
-}
-
-// recordRelayReport records whether the relay of the data centre reports that the leader
-// may be disconnected.
-func (m *Mesh) recordRelayReport(now time.Time, leaderMayBeDisconnected bool) {
+// recordStoreReport records whether the upstream host reports that the store is probably
+// down.
+func (m *Mesh) recordStoreReport(now time.Time, mayBeDown bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.leaderDisconnectedUntil = time.Time{}
-	if leaderMayBeDisconnected {
-		m.leaderDisconnectedUntil = now.Add(silenceTimeout)
+	m.storeDownUntil = time.Time{}
+	if mayBeDown {
+		m.storeDownUntil = now.Add(silenceTimeout)
 	}
 }
 
@@ -329,27 +331,6 @@
 	m.roster.SetDisconnected(now, name, disconnected)
 }
 
-// mustFollow reports whether this host has to follow the store. Hosts whose copy is no
-// longer confirmed begin to follow it one after the other, the relay of a data centre
-// first, so that most of them send no requests when the store is down for all.
-func (m *Mesh) mustFollow(now time.Time, hasUpstream bool, rank int) bool {
-	if now.Before(m.startedAt.Add(startupFollowDelay)) {
-		return false
-	}
-	if !hasUpstream {
-		return true
-	}
-	if m.sync.IsDisconnected() && rank > 0 {
-		// wagsync pings the store until it responds.
-		return false
-	}
-	confirmedAt := m.sync.PeerConfirmedAt()
-	if confirmedAt.IsZero() {
-		confirmedAt = m.startedAt
-	}
-	return now.Sub(confirmedAt) > relayFollowDelay+time.Duration(rank)*standbyFollowDelay
-}
-
 // updateUpstream subscribes to the changes at the upstream host and unsubscribes at all
 // others, as soon as this host has all objects; m.mu is held.
 func (m *Mesh) updateUpstream(now time.Time, upstream wagroster.Member, hasUpstream bool) {
@@ -364,7 +345,7 @@
 			m.startDial(now, upstream.Address)
 		}
 	}
-	unsubscribe := m.subscribedToOthers && (newUpstream != nil || !hasUpstream) && !m.sync.HasUnreadKinds()
+	unsubscribe := m.subscribedToOthers && (newUpstream != nil || !hasUpstream) && !m.sync.HasUnreadKinds() && !m.isStale(now)
 	if newUpstream == m.upstream && !unsubscribe || newUpstream == nil && hasUpstream {
 		return
 	}
@@ -392,12 +373,6 @@
 	m.log.WithFields(fields).Info("the upstream host has changed")
 }
 
-// copyAge returns how long ago the copy of the store's objects was known to be complete,
-// or the time since the start if it never was.
-func (m *Mesh) copyAge(now time.Time) time.Duration {
-	return now.Sub(wagclock.Later(m.sync.ConfirmedAt(), m.startedAt))
-}
-
 // linkTo returns the latest open link to a host, or nil; m.mu is held.
 func (m *Mesh) linkTo(name string) *link {
 	list := m.links[name]
@@ -410,9 +385,9 @@
 // addLink adds a link whose hello was received; m.mu is held.
 func (m *Mesh) addLink(l *link) {
 	m.links[l.peer.Name] = append(m.links[l.peer.Name], l)
-	if l.inSameDataCentre() && m.sync.HasUnreadKinds() {
-		// After the start this host takes the objects from whichever host has them
-		// first.
+	if l.inSameDataCentre() && (m.sync.HasUnreadKinds() || m.isStale(m.clock.Now())) {
+		// After the start, and while its copy is old, this host takes the objects from
+		// whichever host has them first.
 		l.setSubscribed(true)
 		m.subscribedToOthers = true
 	}
--- a/wagroster/wagroster.go
+++ b/wagroster/wagroster.go
@@ -69,9 +69,8 @@
 
 // storeState records whether a host is disconnected from the store.
 type storeState struct {
-	// disconnectedSince is when the host was first reported as disconnected, and
-	// disconnectedUntil when that report expires.
-	disconnectedSince, disconnectedUntil time.Time
+	// disconnectedUntil is when the report that the host is disconnected expires.
+	disconnectedUntil time.Time
 }
 
 func (s *storeState) isDisconnected(now time.Time) bool { return now.Before(s.disconnectedUntil) }
@@ -342,6 +341,22 @@
 	return d.rank
 }
 
+// Fallbacks returns the first hosts of the data centre in rank, except this one and the
+// one with a name.
+func (r *Roster) Fallbacks(count int, except string) (list []Member) {
+	d := r.dataCentre(r.self.DataCentre)
+	r.refresh(r.self.DataCentre, d)
+	for _, m := range d.ranked {
+		if len(list) == count {
+			break
+		}
+		if m.Name != r.self.Name && m.Name != except {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // HasNeighbour reports whether another reachable host is in the data centre of this one.
 func (r *Roster) HasNeighbour() bool {
 	d := r.dataCentre(r.self.DataCentre)
@@ -361,17 +376,9 @@
 	return r.Owner(RoleRelay, dataCentre)
 }
 
-const (
-	// disconnectedTimeout is how long a host counts as disconnected after it reported
-	// that. Hosts repeat the report with each heartbeat.
-	disconnectedTimeout = 4 * time.Second
-	// takeoverDuration is how long several relays follow the store after a relay was
-	// reported as disconnected. A host needs up to 1.2 s to detect that, and the new
-	// leader may be disconnected as well.
-	takeoverDuration = 3 * time.Second
-	// maxTakeoverRelays bounds the relays that follow the store in that time.
-	maxTakeoverRelays = 4
-)
+// disconnectedTimeout is how long a host counts as disconnected after it reported that.
+// Hosts repeat the report with each heartbeat.
+const disconnectedTimeout = 4 * time.Second
 
 // SetDisconnected records whether a member, or this host, is disconnected from the
 // store.
@@ -382,9 +389,6 @@
 	case !disconnected:
 		*s = storeState{}
 	default:
-		if !s.isDisconnected(now) {
-			s.disconnectedSince = now
-		}
 		s.disconnectedUntil = now.Add(disconnectedTimeout)
 	}
 }
@@ -440,31 +444,22 @@
 	return list[0]
 }
 
-// LeaderMayBeDisconnected reports whether the leader may be disconnected from the store:
-// a relay has been disconnected for less than takeoverDuration, or all relays are.
-func (r *Roster) LeaderMayBeDisconnected(now time.Time) bool {
+// StoreMayBeDown reports whether the store is probably down for all hosts: the relays of
+// two data centres, or the only relay, are disconnected from it.
+func (r *Roster) StoreMayBeDown(now time.Time) bool {
 	relays := r.relays(now)
-	all := len(relays) > 0
+	disconnected := 0
 	for _, m := range relays {
-		s, _ := r.storeStateOf(m.Name)
-		if s.isDisconnected(now) && now.Before(s.disconnectedSince.Add(takeoverDuration)) {
-			return true
+		if r.IsDisconnected(now, m.Name) {
+			disconnected++
 		}
-		all = all && s.isDisconnected(now)
 	}
-	return all
+	return disconnected > 0 && disconnected >= min(len(relays), minDisconnectedRelays)
 }
 
-// IsBackupFollower reports whether this host is one of the relays that follow the store
-// beside the leader while that may be disconnected.
-func (r *Roster) IsBackupFollower(now time.Time) bool {
-	for i, m := range r.relays(now) {
-		if m.Name == r.self.Name {
-			return i < maxTakeoverRelays && !r.selfStore.isDisconnected(now) && r.LeaderMayBeDisconnected(now)
-		}
-	}
-	return false
-}
+// minDisconnectedRelays is the number of disconnected relays from which the store is
+// probably down. A single one may be cut off.
+const minDisconnectedRelays = 2
 
 // Upstream returns the host from which this one receives the changes of the store. The
 // hosts of a data centre form a tree below its relay: each has up to maxChildren others
--- a/wagroster/wagroster_test.go
+++ b/wagroster/wagroster_test.go
@@ -155,25 +155,24 @@
 	is.Equal(r.Leader(start).Name, nextLeader.Name)
 }
 
-// Guards against a site that tries one relay after the other when several are
-// disconnected, and against backup followers that never stop.
-func TestBackupFollowersAfterLoss(t *testing.T) {
+// Guards against hosts that take the store for down because a single relay is cut off
+// from it, and against a site that never takes it for up again.
+func TestStoreMayBeDown(t *testing.T) {
 	is := is.New(t)
-	rosters, members := site(6)
-	leader := rosters[0].Leader(start)
-	backupFollowers := func(now time.Time) (n int) {
-		for i, r := range rosters {
-			r.SetDisconnected(now, leader.Name, true)
-			if r.IsBackupFollower(now) {
-				n++
-				is.True(members[i].Name != leader.Name)
-			}
-		}
-		return n
-	}
-	is.Equal(rosters[0].IsBackupFollower(start), false)
-	is.Equal(backupFollowers(start), len(rosters[0].DataCentres())-1)
-	is.Equal(backupFollowers(start.Add(takeoverDuration)), 0)
+	rosters, _ := site(6)
+	r := rosters[0]
+	leader := r.Leader(start)
+	is.Equal(r.StoreMayBeDown(start), false)
+	r.SetDisconnected(start, leader.Name, true)
+	is.Equal(r.StoreMayBeDown(start), false)
+	r.SetDisconnected(start, r.Leader(start).Name, true)
+	is.Equal(r.StoreMayBeDown(start), true)
+	is.Equal(r.StoreMayBeDown(start.Add(disconnectedTimeout)), false)
+	r.SetDisconnected(start, leader.Name, false)
+	is.Equal(r.StoreMayBeDown(start), false)
+	alone := New(member("a", 0))
+	alone.SetDisconnected(start, alone.Self().Name, true)
+	is.Equal(alone.StoreMayBeDown(start), true)
 }
 
 // Guards against upstream hosts that form a cycle, so that none of them receives the
--- a/wagsync/start.go
+++ b/wagsync/start.go
@@ -116,13 +116,7 @@
 		}
 		var g errgroup.Group
 		for _, kind := range unread {
-			g.Go(func() error {
-				u, err := s.store.List(ctx, kind)
-				if err == nil {
-					s.apply(u, "store")
-				}
-				return err
-			})
+			g.Go(func() error { return s.list(ctx, kind) })
 		}
 		if err := g.Wait(); err != nil {
 			s.log.WithError(err).Info("the first read of the store failed")
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -76,8 +76,10 @@
 	storeRevision wagmirror.Revision
 	// startedAt is when Run was called.
 	startedAt time.Time
-	// peerConfirmed is when the copy was last complete according to another host.
+	// peerConfirmed is when the copy was last complete according to other hosts.
 	peerConfirmed time.Time
+	// onConfirmed is called after the store has confirmed the copy to this host.
+	onConfirmed func()
 	// expectation returns whether another host will send the objects, so that the first
 	// read of the store can wait.
 	expectation func() Expectation
@@ -95,9 +97,16 @@
 	// canWatch means that the copy is complete up to its revision, so that a watch can
 	// continue from there.
 	canWatch bool
-	// watching means that a watch is in flight, which confirms the copy until it fails.
-	watching bool
-	// confirmedAt is when the latest request succeeded.
+	// answered means that the store has answered a request for the kind since this host
+	// began to follow it, or since a watch was cancelled. Until then requests do not wait
+	// for changes, so that they confirm the copy at once.
+	answered bool
+	// coveredRevision is the revision of the store up to which all changes of the kind are
+	// known from its own responses.
+	coveredRevision wagmirror.Revision
+	// confirmedAt is the latest time at which the copy is proven to have been complete: a
+	// response of the store for any kind showed that it had no newer revision. A request
+	// in flight proves nothing.
 	confirmedAt time.Time
 	// failures counts the failed requests in a row.
 	failures int
@@ -124,7 +133,7 @@
 	s := &Sync{
 		store: store, clock: wagclock.System{}, log: logrus.StandardLogger(), onChange: onChange,
 		followingStarted: make(chan struct{}), mirror: wagmirror.New(kinds...), kinds: make(map[string]*kindState), primaryKind: kinds[0],
-		expectation: func() Expectation { return ExpectNothing }, connectionDelay: connectionDelay, transferDelay: transferDelay,
+		onConfirmed: func() {}, expectation: func() Expectation { return ExpectNothing }, connectionDelay: connectionDelay, transferDelay: transferDelay,
 	}
 	for _, kind := range kinds {
 		s.kinds[kind] = &kindState{}
@@ -151,7 +160,7 @@
 	s.followCtx, s.stopFollowing = context.WithCancel(ctx)
 	for kind, f := range s.kinds {
 		// A watch continues from the updates of other hosts.
-		f.canWatch = s.mirror.CompleteRevision(kind) > 0
+		f.canWatch, f.answered = s.mirror.CompleteRevision(kind) > 0, false
 	}
 	close(s.followingStarted)
 	s.followingStarted = make(chan struct{})
@@ -232,14 +241,10 @@
 	for ctx.Err() == nil {
 		began := s.clock.Now()
 		err := s.listOrWatch(ctx, kind, f)
-		s.mu.Lock()
-		f.watching = false
-		s.mu.Unlock()
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			s.recordSuccess(kind, f)
 			delays.Reset()
 			wagclock.Wait(ctx, s.clock, began.Add(minWatchInterval))
 			continue
@@ -250,16 +255,36 @@
 	}
 }
 
-// recordSuccess records a successful request for a kind.
-func (s *Sync) recordSuccess(kind string, f *kindState) {
+// recordResponse records that a response of the store showed all changes of a kind up to
+// a revision, which was the store's at a time. It confirms the copies of all kinds that
+// lack no change of that revision.
+func (s *Sync) recordResponse(kind string, revision wagmirror.Revision, at time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	f.confirmedAt = s.clock.Now()
+	f := s.kinds[kind]
+	f.coveredRevision = max(f.coveredRevision, revision)
+	f.answered = true
+	for name, k := range s.kinds {
+		if max(k.coveredRevision, s.mirror.CompleteRevision(name)) >= max(s.storeRevision, revision) {
+			k.confirmedAt = wagclock.Later(k.confirmedAt, at)
+		}
+	}
 	if f.failures > 0 {
 		s.log.WithField("kind", kind).Info("the store answers again")
 	}
 	f.failures = 0
 	s.markConnected()
+	s.updateStoreRevision(revision)
+	onConfirmed := s.onConfirmed
+	s.mu.Unlock()
+	onConfirmed()
+}
+
+// SetConfirmationHandler sets the function that is called after the store has confirmed
+// the copy to this host.
+func (s *Sync) SetConfirmationHandler(handler func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onConfirmed = handler
 }
 
 // recordFailure records a failed request for a kind. This host counts as disconnected
@@ -286,43 +311,41 @@
 func (s *Sync) listOrWatch(ctx context.Context, kind string, f *kindState) error {
 	s.mu.Lock()
 	canWatch, after := f.canWatch, s.mirror.CompleteRevision(kind)
-	// A watch after a failure does not confirm the copy before it succeeds.
-	f.watching = canWatch && f.failures == 0
 	s.mu.Unlock()
-	if !canWatch {
-		u, err := s.store.List(ctx, kind)
-		if err != nil {
-			return err
-		}
-		s.apply(u, "store")
-		s.mu.Lock()
-		f.canWatch = true
-		s.mu.Unlock()
-		return nil
+	if canWatch {
+		return s.watchOnce(ctx, kind, f, after)
 	}
-	u, err := s.watchOnce(ctx, kind, f, after)
-	if err != nil {
+	if err := s.list(ctx, kind); err != nil {
 		return err
 	}
-	if len(u.Records) == 0 {
-		// The store may have withheld changes, so that the next watch has to begin at
-		// the same revision again.
-		u.At = after
+	s.mu.Lock()
+	f.canWatch = true
+	s.mu.Unlock()
+	return nil
+}
+
+// list reads all objects of a kind from the store.
+func (s *Sync) list(ctx context.Context, kind string) error {
+	began := s.clock.Now()
+	u, err := s.store.List(ctx, kind)
+	if err != nil {
+		return err
 	}
 	s.apply(u, "store")
+	s.recordResponse(kind, u.At, began)
 	return nil
 }
 
-// watchOnce makes one watch. After a failure it does not wait for changes, so that
-// its success is known at once.
-func (s *Sync) watchOnce(ctx context.Context, kind string, f *kindState, after wagmirror.Revision) (wagmirror.Update, error) {
+// watchOnce makes one watch and applies the update. The first watch does not wait for
+// changes, nor does one after a failure, so that its success is known at once.
+func (s *Sync) watchOnce(ctx context.Context, kind string, f *kindState, after wagmirror.Revision) error {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.mu.Lock()
 	now := s.clock.Now()
 	deadline := now.Add(longWatchTimeout)
 	switch {
-	case f.failures > 0:
+	case f.failures > 0 || !f.answered:
 		deadline = now
 	case kind == s.primaryKind || now.Before(f.shortWatchesUntil):
 		deadline = now.Add(shortWatchTimeout)
@@ -332,16 +355,29 @@
 	s.mu.Unlock()
 	u, err := s.store.Watch(watchCtx, kind, after, deadline)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	f.cancelWatch = nil
-	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
-		// updateStoreRevision cancelled the watch. A short one follows.
-		return wagmirror.Update{Kind: kind, Since: after, At: after}, nil
+	wasCanceled := err != nil && watchCtx.Err() != nil && ctx.Err() == nil
+	if wasCanceled {
+		// updateStoreRevision cancelled the watch. One that does not wait follows.
+		f.answered = false
+	}
+	s.mu.Unlock()
+	if wasCanceled {
+		return nil
+	}
+	if err != nil {
+		return err
 	}
-	if err == nil {
-		s.updateStoreRevision(u.At)
+	storeRevision, confirmed := u.At, s.clock.Now()
+	if len(u.Records) == 0 {
+		// The store may have withheld changes, so that the next watch has to begin at
+		// the same revision again. A response that was delayed on its way proves no more
+		// than one that came in time.
+		u.At, confirmed = after, wagclock.Earlier(confirmed, deadline)
 	}
-	return u, err
+	s.apply(u, "store")
+	s.recordResponse(kind, storeRevision, confirmed)
+	return nil
 }
 
 // updateStoreRevision records the revision of the store. Kinds whose copy is older are
@@ -382,14 +418,17 @@
 	return ok
 }
 
-// RecordPeerConfirmation records that, according to another host, the copy was complete
-// at a time.
-func (s *Sync) RecordPeerConfirmation(at time.Time) {
+// RecordPeerConfirmation records that, according to another host that does not have it
+// from this one, the copy was complete at a time. It reports whether the confirmation is
+// newer than any before.
+func (s *Sync) RecordPeerConfirmation(at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if at.After(s.peerConfirmed) {
-		s.peerConfirmed = at
+	if !at.After(s.peerConfirmed) {
+		return false
 	}
+	s.peerConfirmed = at
+	return true
 }
 
 // ConfirmedAt returns when the copy was last known to be complete, or the zero time if
@@ -400,6 +439,14 @@
 	return wagclock.Later(s.ownConfirmation(), s.peerConfirmed)
 }
 
+// OwnConfirmedAt returns when the store last confirmed the copy to this host, or the zero
+// time if it never did.
+func (s *Sync) OwnConfirmedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ownConfirmation()
+}
+
 // PeerConfirmedAt returns when the copy was last complete according to another host, or
 // the zero time if it never was.
 func (s *Sync) PeerConfirmedAt() time.Time {
@@ -408,17 +455,13 @@
 	return s.peerConfirmed
 }
 
-// ownConfirmation returns when the store last confirmed the copies of all kinds; s.mu
-// is held.
+// ownConfirmation returns when the store last confirmed the copies of all kinds to this
+// host; s.mu is held.
 func (s *Sync) ownConfirmation() (earliest time.Time) {
 	first := true
 	for _, f := range s.kinds {
-		at := f.confirmedAt
-		if f.watching && s.followCtx != nil {
-			at = s.clock.Now()
-		}
-		if first || at.Before(earliest) {
-			earliest = at
+		if first || f.confirmedAt.Before(earliest) {
+			earliest = f.confirmedAt
 		}
 		first = false
 	}
--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -26,11 +26,12 @@
 	// first is the oldest revision of which watches still have the change.
 	first   wagmirror.Revision
 	changed chan struct{}
-	// withholding keeps changes from watches, and down makes all requests fail.
-	withholding, down bool
-	lists             int
-	watches           int
-	pings             int
+	// withholding keeps changes from watches, down makes all requests fail, and silent
+	// leaves them without a response.
+	withholding, down, silent bool
+	lists                     int
+	watches                   int
+	pings                     int
 	// aborts counts how often the store aborted all watches in flight.
 	aborts int
 }
@@ -81,7 +82,25 @@
 
 var errDown = errors.WithMessage(wagstore.ErrUnavailable, "down")
 
-func (s *store) List(_ context.Context, kind string) (wagmirror.Update, error) {
+// awaitSilence ends the request of a silent store as the client does, after a while.
+func (s *store) awaitSilence(ctx context.Context) error {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	select {
+	case <-time.After(shortWatchTimeout):
+	case <-ctx.Done():
+	}
+	return errors.WithMessage(wagstore.ErrTimeout, "silent")
+}
+
+func (s *store) List(ctx context.Context, kind string) (wagmirror.Update, error) {
+	if err := s.awaitSilence(ctx); err != nil {
+		return wagmirror.Update{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
@@ -112,6 +131,9 @@
 		if aborts > began {
 			return u, errDown
 		}
+		if err := s.awaitSilence(ctx); err != nil {
+			return u, err
+		}
 		if err != nil || len(u.Records) > 0 || !time.Now().Before(until) {
 			return u, err
 		}
