wagmesh: End links whose hello does not come

Cause: the kernel of a suspended host accepts connections, and no hello comes. Only links whose hello was received are checked for silence, so that the attempt never ended, the host never counted as unreachable, and all others waited for it. The same holds for links that others open: 2,048 of them without a hello would have left no room for further ones.

A link ends when the hello does not come within silenceTimeout, and the dial counts as failed, so that the next host in rank follows.

--- a/wagmesh/dial.go
+++ b/wagmesh/dial.go
@@ -115,17 +115,12 @@
 	return dialer.DialContext(ctx, "tcp", to.String())
 }
 
-// dialAndRun dials a host and runs the link until it ends.
+// dialAndRun dials a host and runs the link until it ends. A host that accepts the
+// connection and says no hello is as unreachable as one that does not accept it.
 func (m *Mesh) dialAndRun(to netip.AddrPort, d *dialState) error {
 	netConn, err := m.dial(m.ctx, to)
-	m.mu.Lock()
-	if err != nil {
-		d.failures++
-	} else {
-		d.failures = 0
-	}
-	m.mu.Unlock()
 	if err != nil {
+		m.recordDial(d, false)
 		return err
 	}
 	conn := drpcconn.NewWithOptions(netConn, drpcconn.Options{Manager: managerOptions()})
@@ -136,5 +131,18 @@
 	if err != nil {
 		return err
 	}
-	return m.runLink(ctx, m.newLink(cancel), s)
+	l := m.newLink(cancel)
+	defer func() { m.recordDial(d, l.hasGreeted()) }()
+	return m.runLink(ctx, l, s)
+}
+
+// recordDial records whether an attempt to open a link has succeeded.
+func (m *Mesh) recordDial(d *dialState, succeeded bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if succeeded {
+		d.failures = 0
+	} else {
+		d.failures++
+	}
 }
--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -123,8 +123,8 @@
 	}
 }
 
-// conn is one end of a connection. Writes never block, and data is lost only while a
-// host is silent.
+// conn is one end of a connection. Writes block only when a suspended host does not read,
+// and data is lost only while a host is silent.
 type conn struct {
 	network    *network
 	from, to   netip.Addr
@@ -135,8 +135,13 @@
 	closed     chan struct{}
 	closeOnce  sync.Once
 	peerClosed chan struct{}
+	// held counts the bytes that were written to a suspended host.
+	held int
 }
 
+// windowBytes is how much can be sent to a suspended host before a write blocks.
+const windowBytes = 64 << 10
+
 func newPair(n *network, from, to netip.Addr) (a, b *conn) {
 	a = &conn{network: n, from: from, to: to, arrived: make(chan struct{}, 1), closed: make(chan struct{})}
 	b = &conn{network: n, from: to, to: from, arrived: make(chan struct{}, 1), closed: make(chan struct{})}
@@ -184,7 +189,14 @@
 	silent := c.network.drops(c.from, c.to)
 	c.network.bytes[[2]netip.Addr{c.from, c.to}] += len(p)
 	c.network.writes[c.from]++
+	suspended := c.network.suspended[c.to]
 	c.network.mu.Unlock()
+	if suspended {
+		if c.held += len(p); c.held > windowBytes {
+			<-c.closed
+			return 0, net.ErrClosed
+		}
+	}
 	if silent {
 		return len(p), nil
 	}
@@ -391,6 +403,14 @@
 	s.network.silent[h.member.Address.Addr()] = silent
 }
 
+// setSuspended suspends the process of a host, or lets it go on.
+func (s *site) setSuspended(h *host, suspended bool) {
+	s.network.mu.Lock()
+	s.network.suspended[h.member.Address.Addr()] = suspended
+	s.network.mu.Unlock()
+	s.store.setSilent(h.member.Name, suspended)
+}
+
 // setIsolated cuts a host off from the store and from the hosts of other data centres, or
 // connects it again.
 func (s *site) setIsolated(h *host, isolated bool) {
--- a/wagmesh/freshness_test.go
+++ b/wagmesh/freshness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -39,3 +40,55 @@
 		})
 	}
 }
+
+// Guards against hosts that wait without a limit for a suspended host, whose kernel
+// accepts connections, when it is the next relay (review/4).
+func TestNextRelayIsSuspendedDuringPlannedStop(t *testing.T) {
+	for _, offset := range changeOffsets {
+		for _, dataCentre := range threeDataCentres {
+			t.Run(fmt.Sprint(dataCentre, offset), func(t *testing.T) {
+				runSite(t, 6, threeDataCentres, func(s *site) {
+					is := is.New(t)
+					sleep(15 * time.Second)
+					ranked := s.ranked(dataCentre)
+					relay, next := ranked[0], ranked[1]
+					s.setSuspended(next, true)
+					sleep(300 * time.Millisecond)
+					relay.mesh.Leave()
+					sleep(100 * time.Millisecond)
+					relay.stop()
+					s.remove(relay)
+					sleep(offset)
+					at := s.store.put()
+					is.True(s.reachesAll(at, next, applyTimeout))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a link to a host that takes connections and says nothing, and one of a
+// host that opens connections and says nothing, which last for good: the one is never
+// given up, and many of the other leave no room for further hosts.
+func TestLinksWithoutHelloEnd(t *testing.T) {
+	runSite(t, 3, threeDataCentres, func(s *site) {
+		is := is.New(t)
+		sleep(5 * time.Second)
+		h, mute := s.ranked("a")[0], s.ranked("b")[2]
+		s.setSuspended(mute, true)
+		sleep(10 * time.Second)
+		h.mesh.mu.Lock()
+		h.mesh.startDial(time.Now(), mute.member.Address)
+		failures := h.mesh.dialStates[mute.member.Address].failures
+		h.mesh.mu.Unlock()
+		for range 50 {
+			_, err := s.network.dial(t.Context(), netip.MustParseAddr("10.9.9.9"), h.member.Address)
+			is.NoErr(err)
+		}
+		sleep(2 * silenceTimeout)
+		h.mesh.mu.Lock()
+		defer h.mesh.mu.Unlock()
+		is.True(h.mesh.dialStates[mute.member.Address].failures > failures)
+		is.True(h.mesh.inboundLinks < 50)
+	})
+}
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -33,7 +33,8 @@
 	errUnused        = errors.New("the link is not needed any more")
 	errSilent        = errors.New("the other host is silent")
 	errSendQueueFull = errors.New("the other host does not read")
-	errNoHello       = errors.New("the first frame is no hello")
+	errNoHello       = errors.New("the other host does not say hello")
+	errInvalidHello  = errors.New("the first frame is no hello")
 	errMeshEnded     = errors.New("the mesh has ended")
 )
 
@@ -53,6 +54,8 @@
 	inbound bool
 	// cancel closes the link.
 	cancel context.CancelCauseFunc
+	// greeted is closed when the hello of the peer was received.
+	greeted chan struct{}
 
 	mu sync.Mutex
 	// subscribed means that this host receives changes on the link, and peerSubscribed
@@ -93,7 +96,7 @@
 func (m *Mesh) newLink(cancel context.CancelCauseFunc) *link {
 	now := m.clock.Now()
 	return &link{
-		mesh: m, cancel: cancel, ready: make(chan struct{}, 1), lastReceived: now, nextHeartbeat: now, lastPlaced: now,
+		mesh: m, cancel: cancel, greeted: make(chan struct{}), ready: make(chan struct{}, 1), lastReceived: now, nextHeartbeat: now, lastPlaced: now,
 		peerRevisions: make(map[string]wagmirror.Revision), sentRequests: make(map[uint64]*sentRequest),
 		waitingTickets: make(map[uint64]wagowner.Ticket), grantFinishers: make(map[uint64]func(wagplacement.Result)),
 	}
@@ -144,6 +147,7 @@
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return l.sendFrames(gctx, s) })
 	g.Go(func() error { return l.receiveFrames(gctx, s) })
+	g.Go(func() error { return l.awaitHello(gctx) })
 	err = g.Wait()
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
@@ -200,6 +204,30 @@
 	}
 }
 
+// awaitHello closes the link when the peer says no hello in time, as a suspended host,
+// whose kernel accepts connections. From the hello on, tick notices a silent peer.
+func (l *link) awaitHello(ctx context.Context) error {
+	expired, release := l.mesh.clock.TimerAt(l.mesh.clock.Now().Add(silenceTimeout))
+	defer release()
+	select {
+	case <-ctx.Done():
+	case <-l.greeted:
+	case <-expired:
+		l.cancel(errNoHello)
+	}
+	return nil
+}
+
+// hasGreeted reports whether the hello of the peer was received.
+func (l *link) hasGreeted() bool {
+	select {
+	case <-l.greeted:
+		return true
+	default:
+		return false
+	}
+}
+
 // receiveFrames receives the hello and handles the frames of the peer until the link
 // ends.
 func (l *link) receiveFrames(ctx context.Context, s stream) error {
@@ -209,9 +237,10 @@
 	}
 	peer, ok := memberFromMessage(f.GetHello().GetSelf())
 	if !ok {
-		return errNoHello
+		return errInvalidHello
 	}
 	l.peer = peer
+	close(l.greeted)
 	l.mesh.mu.Lock()
 	if l.mesh.ctx.Err() != nil {
 		l.mesh.mu.Unlock()
