wagmesh: Close the connection of a link that cannot send

A link to a host that reads nothing (suspended, with a full window) never ended: to close its stream waits for the Send that is in progress. The host kept its roles in the view of the other, and a stop of that one would have waited, too.

The connection itself is closed now.

--- a/wagmesh/freshness_test.go
+++ b/wagmesh/freshness_test.go
@@ -92,3 +92,28 @@
 		is.True(h.mesh.inboundLinks < 50)
 	})
 }
+
+// Guards against links that do not end while a frame for a suspended host, which reads
+// nothing, cannot be sent.
+func TestLinksToSuspendedHostEndDuringSend(t *testing.T) {
+	runSite(t, 3, threeDataCentres, func(s *site) {
+		is := is.New(t)
+		sleep(5 * time.Second)
+		relay := s.ranked("a")[0]
+		for _, mute := range s.ranked("a")[1:] {
+			relay.mesh.mu.Lock()
+			l, inbound := relay.mesh.linkTo(mute.member.Name), relay.mesh.inboundLinks
+			relay.mesh.mu.Unlock()
+			is.True(l != nil)
+			s.setSuspended(mute, true)
+			l.enqueue(func(f *Frame) {
+				f.Updates = append(f.Updates, &Update{Kind: testKind, Compressed: make([]byte, 4*windowBytes)})
+			})
+			sleep(2 * silenceTimeout)
+			relay.mesh.mu.Lock()
+			is.True(relay.mesh.linkTo(mute.member.Name) == nil)
+			is.True(!l.inbound || relay.mesh.inboundLinks < inbound)
+			relay.mesh.mu.Unlock()
+		}
+	})
+}
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcctx"
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagmirror"
@@ -42,7 +43,7 @@
 type stream interface {
 	Send(*Frame) error
 	Recv() (*Frame, error)
-	Close() error
+	Context() context.Context
 }
 
 // link is a connection to a peer that either host opened.
@@ -141,8 +142,9 @@
 	// the store from others.
 	b := &Beat{Complete: m.completeMessages(), Disconnected: m.sync.IsDisconnected()}
 	l.enqueue(func(f *Frame) { f.Hello, f.Beat = hello, b })
-	// Recv does not end with ctx when the peer is silent.
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	// Recv does not end with ctx when the peer is silent, nor Send when the peer does not
+	// read. To close the stream would wait for such a Send, too.
+	stop := context.AfterFunc(ctx, func() { closeTransport(s) })
 	defer stop()
 	g, gctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return l.sendFrames(gctx, s) })
@@ -155,6 +157,13 @@
 	return err
 }
 
+// closeTransport closes the connection of a stream.
+func closeTransport(s stream) {
+	if transport, ok := drpcctx.Transport(s.Context()); ok {
+		_ = transport.Close()
+	}
+}
+
 // enqueue adds to the frame that is sent next. It does not block.
 func (l *link) enqueue(add func(*Frame)) {
 	l.mu.Lock()
