waggateway: Find pipelined requests by the parser of net/http only

Cause: mayRunAhead looked for names of fields in the text of a head. The exception for the line "Connection: keep-alive" held for all five names, so that heads with a length passed, and the body was taken for the next head. A head that does not wait was not parsed.

Each head is now read by http.ReadRequest, which net/http uses as well, and has to be exactly one request without a body; the checks that the server makes beside it are repeated. So a head after which net/http reads a body, closes or rejects ends the search.

--- a/waggateway/fixture_test.go
+++ b/waggateway/fixture_test.go
@@ -187,6 +187,18 @@
 	hedgeAfter time.Duration
 }
 
+// placedFor returns how many servers were wanted for a request.
+func (p *fakePlacer) placedFor(id string) (count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range p.requests {
+		if r.Name == id {
+			count++
+		}
+	}
+	return count
+}
+
 func (p *fakePlacer) Place(_ context.Context, _ string, r wagplacement.Request) wagowner.Outcome {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -7,10 +7,13 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -220,33 +223,37 @@
 // receive looks for complete requests in the received bytes and runs those ahead that
 // wait for an earlier one; c.mu is held.
 func (c *callerConn) receive(p []byte) {
+	for _, r := range c.search(p) {
+		c.received++
+		if c.handling || c.received > c.begun+1 {
+			r.RemoteAddr = c.RemoteAddr().String()
+			c.waiting = append(c.waiting, pipelinedRequest{number: c.received, request: r})
+		}
+	}
+	c.startWaiting()
+}
+
+// search returns the requests that the received bytes complete. It ends for good at
+// anything but a request that parseHead accepts; c.mu is held.
+func (c *callerConn) search(p []byte) (found []*http.Request) {
 	if !c.tracking {
-		return
+		return nil
 	}
 	c.head = append(c.head, p...)
 	for {
-		before, rest, found := bytes.Cut(c.head, []byte("\r\n\r\n"))
-		if !found {
+		before, rest, complete := bytes.Cut(c.head, []byte("\r\n\r\n"))
+		if !complete {
 			if len(c.head) > maxUnreadBytes {
 				c.stopTracking()
 			}
-			return
+			return found
 		}
-		if !mayRunAhead(before) {
+		r := parseHead(c.head[:len(before)+4])
+		if r == nil {
 			c.stopTracking()
-			return
-		}
-		c.received++
-		if c.handling || c.received > c.begun+1 {
-			r := parseHead(c.head[:len(before)+4])
-			if r == nil {
-				c.stopTracking()
-				return
-			}
-			r.RemoteAddr = c.RemoteAddr().String()
-			c.waiting = append(c.waiting, pipelinedRequest{number: c.received, request: r})
-			c.startWaiting()
+			return found
 		}
+		found = append(found, r)
 		c.head = append(c.head[:0], rest...)
 	}
 }
@@ -255,30 +262,57 @@
 // Requests that run ahead already keep their turn.
 func (c *callerConn) stopTracking() { c.tracking, c.head = false, nil }
 
-// mayRunAhead reports whether a head is that of a safe request without a body, after
-// which the connection carries another one.
-func mayRunAhead(head []byte) bool {
-	if !bytes.HasPrefix(head, []byte("GET ")) && !bytes.HasPrefix(head, []byte("HEAD ")) {
-		return false
+// parseHead returns the request with a head, or nil if that is not the head of exactly
+// one safe request without a body after which the connection carries another one.
+// Everything after a head that it accepts is read as a request, so that it must accept
+// no head after which net/http reads a body, closes the connection or stops serving it.
+// It therefore leaves the framing to the parser of net/http, and repeats the checks that
+// the server makes beside it.
+func parseHead(head []byte) *http.Request {
+	reader := bufio.NewReader(bytes.NewReader(head))
+	r, err := http.ReadRequest(reader)
+	if err != nil || reader.Buffered() > 0 {
+		return nil
 	}
-	lower := bytes.ToLower(head)
-	for _, field := range []string{"\ncontent-length", "\ntransfer-encoding", "\nexpect", "\nupgrade", "\nconnection"} {
-		if bytes.Contains(lower, []byte(field)) && !bytes.Contains(lower, []byte("\nconnection: keep-alive\r\n")) {
+	switch {
+	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+	case !strings.HasPrefix(r.RequestURI, "/"): // r.Host might not be the Host field
+	case r.ProtoMajor != 1 || r.ProtoMinor != 1 || r.Close:
+	case r.ContentLength != 0 || len(r.TransferEncoding) > 0:
+	case r.Header.Get("Expect") != "" || r.Header.Get("Upgrade") != "":
+	case !onlyKeepsAlive(r.Header.Values("Connection")):
+	case !hasOneHost(head) || !httpguts.ValidHostHeader(r.Host) || !hasValidFields(r.Header):
+	default:
+		return r
+	}
+	return nil
+}
+
+// onlyKeepsAlive reports whether Connection fields ask for nothing but a connection that
+// stays open.
+func onlyKeepsAlive(values []string) bool {
+	for _, value := range values {
+		if !strings.EqualFold(strings.TrimSpace(value), "keep-alive") {
 			return false
 		}
 	}
 	return true
 }
 
-// parseHead returns the request with a head, or nil if the head is not that of exactly
-// one request.
-func parseHead(head []byte) *http.Request {
-	reader := bufio.NewReader(bytes.NewReader(head))
-	r, err := http.ReadRequest(reader)
-	if err != nil || reader.Buffered() > 0 || r.ContentLength != 0 || r.Close || r.ProtoMajor != 1 || r.ProtoMinor != 1 {
-		return nil
+// hasOneHost reports whether a head has exactly one Host field. http.ReadRequest drops
+// what it has read of them.
+func hasOneHost(head []byte) bool {
+	return bytes.Count(bytes.ToLower(head), []byte("\nhost:")) == 1
+}
+
+// hasValidFields reports whether the server of net/http accepts the fields of a request.
+func hasValidFields(header http.Header) bool {
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, func(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }) {
+			return false
+		}
 	}
-	return r
+	return true
 }
 
 // startWaiting starts the requests that may run ahead now; c.mu is held.
@@ -371,7 +405,7 @@
 	c.handling = true
 	x := c.ahead[c.begun]
 	delete(c.ahead, c.begun)
-	if x != nil && !x.isFor(c.gateway.protocol, r) {
+	if x != nil && !x.isFor(c.gateway.protocol, r) || len(c.ahead) > 0 && r.ContentLength != 0 {
 		// The search has lost its place. Its executions are those of no request.
 		c.stopTracking()
 		c.waiting = nil
@@ -379,7 +413,9 @@
 			other.cancel()
 			delete(c.ahead, number)
 		}
-		x.cancel()
+		if x != nil {
+			x.cancel()
+		}
 		x = nil
 	}
 	c.startWaiting()
