wagupstream: Send a request to the same server again on a new connection

A caller could be told that a request had not run which a server had run or was running (REFUSED), or it could run at a second server, too (TWICE): reported by another operator.

Cause: a rejected request that is sent to the same server again has the same ID. A server that writes its refusal once more on the kept connection answered the second sending with it. A copy that arrives before the connection is returned ends it (TestExtraBytesEndTheConnection), and one that arrives during another request is passed over by its ID.

Such a request uses a new connection now, on which no earlier response can arrive.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -186,5 +187,5 @@
 	h.Del("Expect")
 	h.Del("Content-Length")
 	q.gateway.protocol.SetServerHeaders(h, timeLeft, serverID)
-	return &wagupstream.Request{Method: q.incoming.Method, Target: q.incoming.RequestURI, Host: q.incoming.Host, Header: h, Body: q.body, BodyRest: q.bodyRest, ContentLength: q.contentLength, ID: q.id, AtMostOnce: !q.route.Idempotent}
+	return &wagupstream.Request{Method: q.incoming.Method, Target: q.incoming.RequestURI, Host: q.incoming.Host, Header: h, Body: q.body, BodyRest: q.bodyRest, ContentLength: q.contentLength, ID: q.id, AtMostOnce: !q.route.Idempotent, SentBefore: slices.Contains(q.avoidServers, serverID)}
 }
--- a/waggateway/fixture_test.go
+++ b/waggateway/fixture_test.go
@@ -88,6 +88,9 @@
 	mu sync.Mutex
 	// response is the text that is sent for each request; %s stands for its ID.
 	response string
+	// first replaces the first response of all, unless empty, and is written once more on
+	// its connection before the next response there.
+	first string
 	// requests holds the received requests. closedWhileHeld receives one element for
 	// each connection that the gateway closes while its response is held.
 	requests        []*http.Request
@@ -133,6 +136,7 @@
 func (b *testServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
+	repeated := ""
 	for {
 		q, err := http.ReadRequest(r)
 		if err != nil {
@@ -145,7 +149,18 @@
 		b.mu.Lock()
 		b.requests, b.bodies = append(b.requests, q), append(b.bodies, string(body))
 		response, hold := b.response, b.hold
+		isFirst := b.first != "" && len(b.requests) == 1
+		if isFirst {
+			response = b.first
+		}
 		b.mu.Unlock()
+		if repeated != "" {
+			_, _ = io.WriteString(c, repeated)
+		}
+		repeated = ""
+		if isFirst {
+			repeated = fmt.Sprintf(response, q.Header.Get("Id"))
+		}
 		if hold != nil {
 			var g errgroup.Group
 			g.Go(func() error {
--- a/waggateway/gateway_test.go
+++ b/waggateway/gateway_test.go
@@ -364,3 +364,20 @@
 	f.server.Close() // waits for the handlers
 	is.Equal(f.gateway.bufferedBodies.Load(), int64(maxBufferedBodies-1))
 }
+
+// Guards against a refusal that a server writes once more, late, on a kept connection: a
+// request that is sent there again has the same ID, so that the caller would be told that
+// it did not run, or it would run at a second server, too.
+func TestRepeatedRefusalAnswersNoOtherSending(t *testing.T) {
+	for _, path := range []string{"/commit/1", "/status/1"} {
+		is := is.New(t)
+		server, other := newTestServer(t, "a", responseOK), newTestServer(t, "b", responseOK)
+		server.first = responseFull
+		f := newFixture(t, server, server, other)
+		resp, body := f.send(t, http.MethodGet, path, nil)
+		is.Equal(resp.StatusCode, 200)
+		is.Equal(body, "ok")
+		is.Equal(server.requestCount(), 2)
+		is.Equal(other.requestCount(), 0)
+	}
+}
--- a/wagupstream/exchange.go
+++ b/wagupstream/exchange.go
@@ -26,7 +26,7 @@
 	if _, restricted := p.RestrictionOf(s); restricted {
 		return nil, false, ErrRestricted
 	}
-	c, reused, err := p.acquire(ctx, s, r.AtMostOnce, dialBy)
+	c, reused, err := p.acquire(ctx, s, r, dialBy)
 	if err != nil {
 		return nil, false, err
 	}
--- a/wagupstream/pool.go
+++ b/wagupstream/pool.go
@@ -120,11 +120,13 @@
 	}
 }
 
-// acquire returns an idle connection, or opens one. reused reports which.
-func (p *Pool) acquire(ctx context.Context, s Server, atMostOnce bool, dialBy time.Time) (c *conn, reused bool, err error) {
-	if c := p.takeIdle(s, atMostOnce); c != nil {
-		p.updateStats(func(s *Stats) { s.Reused++ })
-		return c, true, nil
+// acquire returns an idle connection for a request, or opens one. reused reports which.
+func (p *Pool) acquire(ctx context.Context, s Server, r *Request, dialBy time.Time) (c *conn, reused bool, err error) {
+	if !r.SentBefore {
+		if c := p.takeIdle(s, r.AtMostOnce); c != nil {
+			p.updateStats(func(s *Stats) { s.Reused++ })
+			return c, true, nil
+		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, dialBy)
 	defer cancel()
