wagjson: Read values whose bytes are no JSON as null

Cause: a response of the store is decoded as a whole, and encoding/json refuses it for one byte.

Such a value is null now, as deep inside as possible, so that the name of its entry and all other entries stay readable.

--- a/wagjson/wagjson.go
+++ b/wagjson/wagjson.go
@@ -7,15 +7,23 @@
 // deeper ones. No object of the platform's store is nested half as deep.
 const maxDepth = 32
 
-// Unmarshal decodes JSON like json.Unmarshal, but reads arrays and objects that
-// are nested too deep as null. encoding/json rejects a whole text because of one such
-// value, and with it all other objects of a list.
+// Unmarshal decodes JSON like json.Unmarshal, but reads values that are nested too deep,
+// or whose bytes are no JSON, as null. encoding/json rejects a whole text because of one
+// such value, and with it all other objects of a list. A text that is null as a whole then
+// is an error.
 func Unmarshal(data []byte, v any) error {
 	err := json.Unmarshal(data, v)
 	if err == nil {
 		return nil
 	}
-	if pruned, changed := prune(data); changed {
+	pruned, changed := prune(data)
+	if !json.Valid(pruned) {
+		pruned, changed = mend(pruned, 0), true
+		if string(pruned) == "null" {
+			return err
+		}
+	}
+	if changed {
 		return json.Unmarshal(pruned, v)
 	}
 	return err
--- a/wagjson/wagjson_test.go
+++ b/wagjson/wagjson_test.go
@@ -1,6 +1,8 @@
 package wagjson
 
 import (
+	"bytes"
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -19,3 +21,40 @@
 	is.True(changed)
 	is.Equal(string(pruned), strings.Repeat("[", maxDepth)+"null,3"+strings.Repeat("]", maxDepth))
 }
+
+// Guards against one value with bytes that are no JSON which hides all others (review/2).
+func TestUnreadableValuesAreNull(t *testing.T) {
+	for odd, want := range map[string]string{
+		"{\"a\":\"x\x00y\"}": `{"a":null}`, `{"a":"\q"}`: `{"a":null}`, `{"a":"\u12"}`: `{"a":null}`, `{"a":NaN}`: `{"a":null}`,
+		"{\"a\":\x01}": `{"a":null}`, `{"a":01,"b":[1,tru]}`: `{"a":null,"b":[1,null]}`, `{"a":1,b:2}`: `{"a":1}`, `[1,,2]`: `[1,null,2]`,
+		`{"a":}`: `{"a":null}`, `{"a":1:2,"b":"}"}`: `{"b":"}"}`, `x`: `null`,
+	} {
+		is := is.New(t)
+		is.Equal(string(mend([]byte(odd), 0)), want)
+		var list []json.RawMessage
+		is.NoErr(Unmarshal([]byte(`[{"n":1},`+odd+`,{"n":3}]`), &list))
+		is.Equal(len(list), 3)
+		is.Equal(string(list[0])+string(list[2]), `{"n":1}{"n":3}`)
+	}
+	is := is.New(t)
+	is.Equal(string(mend([]byte(`{"a":[}`), 0)), `{"a":null}`)
+	var v any
+	is.True(Unmarshal([]byte(`{"a":"`), &v) != nil)
+}
+
+// Guards against a text of another writer that ends the program, that is read as something
+// which is no JSON, or that changes the sound values beside it.
+func FuzzUnmarshal(f *testing.F) {
+	for _, seed := range []string{`{"a":[1,{"b":"c"}]}`, "\"\x00\"", `{"a":}`, `[[[[`, `"\`, `}{`, `{"a":1:2}`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		mended := mend(text, 0)
+		if !json.Valid(mended) {
+			t.Fatalf("%q becomes %q, which is no JSON", text, mended)
+		}
+		if json.Valid(text) && string(mended) != string(bytes.TrimSpace(text)) {
+			t.Fatalf("%q is sound and becomes %q", text, mended)
+		}
+	})
+}
