--- a/wagmesh/freshness_test.go
+++ b/wagmesh/freshness_test.go
@@ -117,3 +117,35 @@
 		}
 	})
 }
+
+// Guards against hosts that learn of a change late because the leader, relays and those
+// that follow them lose power together, so that one wait follows another (review/5).
+func TestManyHostsLosePowerTogether(t *testing.T) {
+	for _, offset := range changeOffsets {
+		for seed := range 6 {
+			t.Run(fmt.Sprint(offset, seed), func(t *testing.T) {
+				runSite(t, 5, threeDataCentres, func(s *site) {
+					is := is.New(t)
+					sleep(5 * time.Second)
+					lost := []*host{s.findHost(s.followers()[0])}
+					for i, dataCentre := range threeDataCentres {
+						// The relay and the next hosts in rank, or hosts further down.
+						lost = append(lost, s.ranked(dataCentre)[(seed+i)%3:(seed+i)%3+2+seed%2]...)
+					}
+					isLost := make(map[*host]bool)
+					for _, h := range lost {
+						isLost[h] = true
+						s.setSilent(h, true)
+						s.store.setSilent(h.member.Name, true)
+					}
+					sleep(offset)
+					at := s.store.put()
+					sleep(applyTimeout)
+					for _, h := range s.hosts {
+						is.True(isLost[h] || h.knownRevision() == at)
+					}
+				})
+			})
+		}
+	}
+}
