waghost: Ignore reports of servers that the store has done late

Cause: the sequence was required and then dropped. Within one run of a server, a report with a lower sequence than the known one is ignored now. TestLateReportOfServer guards it.

--- a/waghost/site.go
+++ b/waghost/site.go
@@ -171,8 +171,7 @@
 		case *wagsite.Config:
 			s.applyConfig(object)
 		case wagserver.Instance:
-			s.updateServer(r, object, isFirstList)
-			serversChanged = true
+			serversChanged = s.updateServer(r, object, isFirstList) || serversChanged
 		}
 	}
 	if serversChanged {
@@ -231,12 +230,19 @@
 }
 
 // updateServer records a server that has registered or changed, and logs it unless it is
-// one of the first list. s.mu must be held.
-func (s *SiteHost) updateServer(r wagmirror.Record, instance wagserver.Instance, isFirstList bool) {
+// one of the first list. It ignores a report that is older than the known one, which the
+// store has done late, and reports whether anything changed. s.mu must be held.
+func (s *SiteHost) updateServer(r wagmirror.Record, instance wagserver.Instance, isFirstList bool) bool {
 	old, known := s.servers[r.Name]
+	if known && old.Started.Equal(instance.Started) && instance.Sequence < old.Sequence {
+		s.log.Info(waglog.KindServer, waglog.Fields{
+			"server": instance.ID, "event": "late", "revision": r.Revision, "sequence": instance.Sequence, "knownSequence": old.Sequence,
+		})
+		return false
+	}
 	s.servers[r.Name] = instance
 	if isFirstList || known && old.State == instance.State && old.Started.Equal(instance.Started) {
-		return
+		return true
 	}
 	if known && !old.Started.Equal(instance.Started) {
 		s.upstream.LiftRestriction(wagupstream.Server{Address: instance.Address, ID: instance.ID})
@@ -244,6 +250,7 @@
 	s.log.Info(waglog.KindServer, waglog.Fields{
 		"server": instance.ID, "service": instance.Service, "dataCentre": instance.DataCentre, "event": string(instance.State), "revision": r.Revision,
 	})
+	return true
 }
 
 // copyAge returns the time since the store confirmed the copy of its objects, or 0 if it
--- a/waghost/site_test.go
+++ b/waghost/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -62,3 +63,35 @@
 	is.Equal(len(s.servers), 2)
 	is.Equal(len(s.loggedFaults), 3) // two entries and one route
 }
+
+// reportDecoder decodes objects whose body is the state and the sequence of a server.
+type reportDecoder struct{ fakeDecoder }
+
+func (reportDecoder) Decode(r wagmirror.Record, _ time.Time) (any, error) {
+	var state string
+	var born, sequence int64
+	if _, err := fmt.Sscan(string(r.Body), &state, &born, &sequence); err != nil {
+		return nil, err
+	}
+	return wagserver.Instance{
+		ID: r.Name, Service: "lots", DataCentre: "a", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 6, State: wagserver.State(state),
+		Started: time.UnixMilli(born), Sequence: sequence,
+	}, nil
+}
+
+// Guards against a report that the store has done late, and that makes a server which is
+// leaving ready again until its next one (review/left-out/latebeat.sh).
+func TestLateReportOfServer(t *testing.T) {
+	is := is.New(t)
+	s := NewSiteHost(SiteSettings{Name: "edge-1", DataCentre: "a"}, noStore{}, reportDecoder{}, nil)
+	live, leaving := string(wagserver.Live), string(wagserver.Leaving)
+	for n, step := range []struct{ report, want string }{
+		{live + " 1000 7", live}, {leaving + " 1000 9", leaving}, {live + " 1000 8", leaving}, {leaving + " 1000 9", leaving},
+		{live + " 1000 10", live}, // changed its mind
+		{leaving + " 1000 11", leaving},
+		{live + " 2000 1", live}, // started again, and counts anew
+	} {
+		s.applyRecords([]wagmirror.Record{{Kind: "servers", Name: "s1", Revision: wagmirror.Revision(n + 1), Body: []byte(step.report)}})
+		is.Equal(string(s.servers["s1"].State), step.want)
+	}
+}
--- a/wagserver/instance.go
+++ b/wagserver/instance.go
@@ -18,6 +18,9 @@
 	State State
 	// Started is by the clock of the server. It is only compared for equality.
 	Started time.Time
+	// Sequence counts the reports of a server since it started. A report with a lower one
+	// is older.
+	Sequence int64
 	// ColdUntil is when the slow phase after the start ends, by the clock of this host;
 	// zero without such a phase.
 	ColdUntil time.Time
