waggateway: Drop what runs ahead when a handler meets a body

The search ends at a body, so that this cannot happen as far as known; the handler does not rely on it. The first case of TestExecutionBesideBody fails with the former condition.

--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -405,7 +405,10 @@
 	c.handling = true
 	x := c.ahead[c.begun]
 	delete(c.ahead, c.begun)
-	if x != nil && !x.isFor(c.gateway.protocol, r) || len(c.ahead) > 0 && r.ContentLength != 0 {
+	isOther := x != nil && !x.isFor(c.gateway.protocol, r)
+	// The search ends at a body, so that nothing runs ahead beside or after one.
+	isBodyMissed := r.ContentLength != 0 && (x != nil || len(c.ahead) > 0)
+	if isOther || isBodyMissed {
 		// The search has lost its place. Its executions are those of no request.
 		c.stopTracking()
 		c.waiting = nil
--- a/waggateway/readahead_test.go
+++ b/waggateway/readahead_test.go
@@ -265,6 +265,25 @@
 	}
 }
 
+// Guards against an execution that answers a request with a body, if the search should
+// ever take the one for the other.
+func TestExecutionBesideBody(t *testing.T) {
+	for _, text := range []string{get("/status/2", "r2"), get("/status/2", "r2") + get("/status/3", "r3")} {
+		is := is.New(t)
+		f := newPipelineFixture(t)
+		c := newCallerConn(f.conn, f.gateway)
+		c.mu.Lock()
+		c.receive([]byte(get("/status/1", "r1") + text))
+		c.mu.Unlock()
+		is.True(c.begin(parseHead([]byte(get("/status/1", "r1")))) == nil)
+		withBody := parseHead([]byte(get("/status/2", "r2")))
+		withBody.ContentLength = 4
+		is.True(c.begin(withBody) == nil)
+		is.Equal(len(c.ahead), 0)
+		is.True(!c.tracking)
+	}
+}
+
 // Guards against requests that are lost, doubled or answered in another order when their
 // bytes arrive in any pieces, with requests that do not run ahead among them.
 func TestPipelineInAnyPieces(t *testing.T) {
