--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -255,38 +255,6 @@
 	}
 }
 
-// recordResponse records that a response of the store showed all changes of a kind up to
-// a revision, which was the store's at a time. It confirms the copies of all kinds that
-// lack no change of that revision.
-func (s *Sync) recordResponse(kind string, revision wagmirror.Revision, at time.Time) {
-	s.mu.Lock()
-	f := s.kinds[kind]
-	f.coveredRevision = max(f.coveredRevision, revision)
-	f.answered = true
-	for name, k := range s.kinds {
-		if max(k.coveredRevision, s.mirror.CompleteRevision(name)) >= max(s.storeRevision, revision) {
-			k.confirmedAt = wagclock.Later(k.confirmedAt, at)
-		}
-	}
-	if f.failures > 0 {
-		s.log.WithField("kind", kind).Info("the store answers again")
-	}
-	f.failures = 0
-	s.markConnected()
-	s.updateStoreRevision(revision)
-	onConfirmed := s.onConfirmed
-	s.mu.Unlock()
-	onConfirmed()
-}
-
-// SetConfirmationHandler sets the function that is called after the store has confirmed
-// the copy to this host.
-func (s *Sync) SetConfirmationHandler(handler func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.onConfirmed = handler
-}
-
 // recordFailure records a failed request for a kind. This host counts as disconnected
 // after a timeout, or after disconnectFailures in a row.
 func (s *Sync) recordFailure(kind string, f *kindState, err error) {
@@ -418,56 +386,6 @@
 	return ok
 }
 
-// RecordPeerConfirmation records that, according to another host that does not have it
-// from this one, the copy was complete at a time. It reports whether the confirmation is
-// newer than any before.
-func (s *Sync) RecordPeerConfirmation(at time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !at.After(s.peerConfirmed) {
-		return false
-	}
-	s.peerConfirmed = at
-	return true
-}
-
-// ConfirmedAt returns when the copy was last known to be complete, or the zero time if
-// it never was.
-func (s *Sync) ConfirmedAt() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return wagclock.Later(s.ownConfirmation(), s.peerConfirmed)
-}
-
-// OwnConfirmedAt returns when the store last confirmed the copy to this host, or the zero
-// time if it never did.
-func (s *Sync) OwnConfirmedAt() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ownConfirmation()
-}
-
-// PeerConfirmedAt returns when the copy was last complete according to another host, or
-// the zero time if it never was.
-func (s *Sync) PeerConfirmedAt() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.peerConfirmed
-}
-
-// ownConfirmation returns when the store last confirmed the copies of all kinds to this
-// host; s.mu is held.
-func (s *Sync) ownConfirmation() (earliest time.Time) {
-	first := true
-	for _, f := range s.kinds {
-		if first || f.confirmedAt.Before(earliest) {
-			earliest = f.confirmedAt
-		}
-		first = false
-	}
-	return earliest
-}
-
 // IsDisconnected reports whether this host is known not to reach the store.
 func (s *Sync) IsDisconnected() bool {
 	s.mu.Lock()
