waggateway: Decide before an attempt whether its server was asked before

A hedge might have used a new connection without need, or a repeated sending an old one.

It is now decided when the attempt is created, by the goroutine of the request. go test -race -count 3 ./waggateway passes. A comment of wagmesh is reworded.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -29,6 +29,8 @@
 	start  time.Time
 	// timeLeft is the time between start and the deadline of the request.
 	timeLeft time.Duration
+	// sentBefore reports whether an earlier attempt was granted the same server.
+	sentBefore bool
 	// The fields below are set when the attempt ends. resp is nil without a complete
 	// response.
 	resp       *wagupstream.Response
@@ -46,13 +48,16 @@
 	q.serversTried++
 	q.lastServer = granted.Server.ID
 	start := q.gateway.clock.Now()
-	return &attempt{granted: granted, number: q.attempts, start: start, timeLeft: q.deadline.Sub(start)}
+	return &attempt{
+		granted: granted, number: q.attempts, start: start, timeLeft: q.deadline.Sub(start),
+		sentBefore: slices.Contains(q.avoidServers, granted.Server.ID),
+	}
 }
 
 // send sends the request to the server of an attempt and stores the result.
 func (q *request) send(ctx context.Context, t *attempt) {
 	server := wagupstream.Server{Address: t.granted.Server.Address, ID: t.granted.Server.ID}
-	resp, reused, err := q.gateway.upstream.Exchange(ctx, server, q.outgoingRequest(server.ID, t.timeLeft), t.start.Add(dialTimeout))
+	resp, reused, err := q.gateway.upstream.Exchange(ctx, server, q.outgoingRequest(t), t.start.Add(dialTimeout))
 	t.resp, t.connReused = resp, reused
 	t.notSent = errors.Is(err, wagupstream.ErrNotSent)
 	t.result, t.reason = q.classify(ctx, resp, err)
@@ -185,12 +190,12 @@
 	}
 }
 
-// outgoingRequest builds the request that is sent to a server.
-func (q *request) outgoingRequest(serverID string, timeLeft time.Duration) *wagupstream.Request {
+// outgoingRequest builds the request that is sent to the server of an attempt.
+func (q *request) outgoingRequest(t *attempt) *wagupstream.Request {
 	h := make(http.Header, len(q.incoming.Header)+2)
 	copyEndToEnd(h, q.incoming.Header)
 	h.Del("Expect")
 	h.Del("Content-Length")
-	q.gateway.protocol.SetServerHeaders(h, timeLeft, serverID)
-	return &wagupstream.Request{Method: q.incoming.Method, Target: q.incoming.RequestURI, Host: q.incoming.Host, Header: h, Body: q.body, BodyRest: q.bodyRest, ContentLength: q.contentLength, ID: q.id, AtMostOnce: !q.route.Idempotent, SentBefore: slices.Contains(q.avoidServers, serverID)}
+	q.gateway.protocol.SetServerHeaders(h, t.timeLeft, t.granted.Server.ID)
+	return &wagupstream.Request{Method: q.incoming.Method, Target: q.incoming.RequestURI, Host: q.incoming.Host, Header: h, Body: q.body, BodyRest: q.bodyRest, ContentLength: q.contentLength, ID: q.id, AtMostOnce: !q.route.Idempotent, SentBefore: t.sentBefore}
 }
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -96,8 +96,8 @@
 	confirmations confirmations
 	// freshness tells when this host acts on the age of its copy.
 	freshness wagroster.Freshness
-	// followUntil is until when this host at least follows the store because its copy was
-	// too old.
+	// followUntil is the earliest time at which this host stops following the store again,
+	// after it began to do so because its copy was too old.
 	followUntil time.Time
 	// selfDisconnected and storeMayBeDown are the state of this host and of the store at
 	// the latest tick. Peers are notified at once when it changes.
