waggateway: Refuse requests that even the shortest work cannot end in a planned stop

Cause: a request was compared with the end of the grace period only when it came 3 s after SIGTERM or later, and only when its head arrived, not when its body was complete or a slot was free. Ruled out: closing connections later, which leaves nothing of the grace period; comparing all requests with the longest work, which refuses routes whose work is mostly short.

Now a request is refused before it is sent when even the shortest work of its route that was answered lately would end after the close, and the check is repeated before the first attempt. The caller can ask another host at once.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -69,7 +69,7 @@
 	t.result.Latency = now.Sub(t.start)
 	if !t.notSent {
 		// Also of requests without a response, which may have taken that long.
-		q.gateway.durations.record(now, q.route.Name, t.result.Latency)
+		q.gateway.durations.record(now, q.route.Name, t.result.Latency, t.result.Fault == wagplacement.FaultNone)
 	}
 }
 
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -182,8 +182,8 @@
 			q.deadline = until
 		}
 	}
-	if q.mustRefuseLate() {
-		return nil, response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: "shuttingDown", retryAt: now}
+	if q.mustRefuse(now) {
+		return nil, q.shutdownResponse()
 	}
 	if rejection := q.readBody(config.Limits.BodyBytes); rejection != nil {
 		q.releaseBody()
@@ -268,6 +268,11 @@
 		if !ok {
 			return q.refusalResponse(outcome)
 		}
+		if q.attempts == 0 && q.mustRefuse(q.gateway.clock.Now()) {
+			// The body or a slot came too late.
+			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+			return q.shutdownResponse()
+		}
 		resp, final := q.responseOrRetry(ctx, q.sendHedged(ctx, granted))
 		if final {
 			return resp
@@ -275,6 +280,12 @@
 	}
 }
 
+// shutdownResponse refuses a request because of a graceful shutdown. Another host may
+// serve it at once.
+func (q *request) shutdownResponse() response {
+	return response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: "shuttingDown", retryAt: q.gateway.clock.Now()}
+}
+
 // place requests a server from the placer. hedge says that another server works on the
 // request already.
 func (q *request) place(ctx context.Context, hedge bool) wagowner.Outcome {
--- a/waggateway/shutdown_test.go
+++ b/waggateway/shutdown_test.go
@@ -25,6 +25,8 @@
 		"work is short":                {lateFor: time.Second, work: 50 * time.Millisecond, status: 200},
 		"deadline is within the grace": {lateFor: time.Second, work: 900 * time.Millisecond, closeIn: 2 * testTimeout, status: 200},
 		"request is not late":          {lateFor: -time.Second, status: 200},
+		"not late, work is short":      {lateFor: -time.Second, work: 50 * time.Millisecond, status: 200},
+		"not late, work is too long":   {lateFor: -time.Second, work: 2 * closeIn, status: 503},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for _, path := range []string{"/commit/1", "/status/1"} {
@@ -39,8 +41,8 @@
 				f.gateway.shutdown.Store(&shutdownTimes{lateFrom: now.Add(-c.lateFor), closeAt: end})
 				f.gateway.shuttingDown.Store(true)
 				if c.work > 0 {
-					f.gateway.durations.record(now, "commit", c.work)
-					f.gateway.durations.record(now, "status", c.work)
+					f.gateway.durations.record(now, "commit", c.work, true)
+					f.gateway.durations.record(now, "status", c.work, true)
 				}
 				resp, _ := f.send(t, "POST", path, nil)
 				is.Equal(resp.StatusCode, c.status)
@@ -84,15 +86,19 @@
 	start := time.Date(2026, 12, 5, 0, 0, 0, 0, time.UTC)
 	_, known := d.longest(start, "status")
 	is.True(!known)
-	d.record(start, "status", 3*time.Second)
-	d.record(start, "status", time.Second)
+	d.record(start, "status", 3*time.Second, true)
+	d.record(start, "status", time.Second, true)
+	d.record(start, "status", time.Millisecond, false) // has no answer
+	shortest, known := d.shortest(start.Add(durationWindow), "status")
+	is.True(known)
+	is.Equal(shortest, time.Second)
 	longest, known := d.longest(start.Add(durationWindow), "status")
 	is.True(known)
 	is.Equal(longest, 3*time.Second)
 	_, known = d.longest(start.Add(2*durationWindow), "status")
 	is.True(!known)
 	for n := range 2 * maxRoutesWithDurations {
-		d.record(start.Add(3*durationWindow), string(rune(n)), time.Second)
+		d.record(start.Add(3*durationWindow), string(rune(n)), time.Second, true)
 	}
 	is.True(len(d.current) <= maxRoutesWithDurations)
 }
