wagupstream: Bound the open connections and the lines of a response head

Each server could have up to 16 idle connections and any number of busy ones, so that the descriptors of a host had no bound. A pool with WithMaxConnections closes the connection that has been idle longest when it reaches the bound, and refuses an exchange with ErrTooManyConnections when none is idle. Probes use the pool and are counted.

A head of 64 KB could consist of any number of lines. Parsing a head of 16,000 lines (80 KB) allocated 3.4 MB, one of 512 lines 65 KB (trial, one run each). A head now ends with an error at 512 lines, plus those of one read buffer.

The new tests pass, also with the race detector; TestManyHeadLines fails without the bound of lines.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -19,6 +19,9 @@
 	reasonDeadline   = "deadline"
 	// reasonRestricted means that the server had asked this host for no requests.
 	reasonRestricted = "restricted"
+	// reasonTooManyConnections means that the request would have needed a connection
+	// beyond this host's share for servers.
+	reasonTooManyConnections = "tooManyConnections"
 )
 
 // attempt is one sending of a request to a server.
@@ -76,10 +79,15 @@
 // finish reports the result of an attempt to the owner and to the observer.
 func (q *request) finish(t *attempt) {
 	t.granted.Finish(t.result)
-	if t.result.Fault == wagplacement.FaultConnect || t.reason == reasonRestricted {
+	if t.result.Fault == wagplacement.FaultConnect || t.reason == reasonRestricted || t.reason == reasonTooManyConnections {
 		// Nothing was sent: the server counts in serversTried only.
 		q.attempts--
 	}
+	if t.reason == reasonTooManyConnections {
+		// No server has an idle connection at this moment: others are not tried, because
+		// each try costs the owner a grant.
+		q.serversTried = maxServersTried
+	}
 	q.gateway.observer.AttemptEnded(q.attemptResult(t))
 }
 
@@ -127,8 +135,11 @@
 func (q *request) classify(ctx context.Context, resp *wagupstream.Response, err error) (r wagplacement.Result, reason string) {
 	if err != nil {
 		r.Fault = q.classifyError(ctx, err)
-		if errors.Is(err, wagupstream.ErrRestricted) {
+		switch {
+		case errors.Is(err, wagupstream.ErrRestricted):
 			return r, reasonRestricted
+		case errors.Is(err, wagupstream.ErrTooManyConnections):
+			return r, reasonTooManyConnections
 		}
 		switch r.Fault {
 		case wagplacement.FaultCanceled:
@@ -176,6 +187,9 @@
 // classifyError returns the fault that an error of an exchange stands for.
 func (q *request) classifyError(ctx context.Context, err error) wagplacement.Fault {
 	switch {
+	case errors.Is(err, wagupstream.ErrTooManyConnections):
+		// The cause is this host, so that the server stays in service.
+		return wagplacement.FaultCanceled
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && q.incoming.Context().Err() == nil:
 		return wagplacement.FaultTimeout
 	case ctx.Err() != nil:
--- a/waghost/probe.go
+++ b/waghost/probe.go
@@ -44,6 +44,9 @@
 	case errors.Is(err, wagupstream.ErrRestricted):
 		restriction, _ := p.host.upstream.RestrictionOf(target)
 		return wagplacement.Result{Fault: wagplacement.FaultCanceled, Leaving: restriction.Leaving, BusyUntil: restriction.Until}
+	case errors.Is(err, wagupstream.ErrTooManyConnections):
+		// The cause is this host, so that the server stays in service.
+		return wagplacement.Result{Fault: wagplacement.FaultCanceled}
 	case err != nil && !time.Now().Before(deadline):
 		result.Fault = wagplacement.FaultTimeout
 		return result
--- a/wagupstream/conn.go
+++ b/wagupstream/conn.go
@@ -9,6 +9,7 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,30 +28,41 @@
 	// memory before the response is passed on.
 	maxBufferedBody = 256 << 10
 	// maxHeadBytes bounds the status line and header of a response, with the
-	// informational responses before it.
+	// informational responses before it, and maxHeadLines their lines: a line of four
+	// bytes takes many times as much memory as a map entry with a string. A head may
+	// exceed maxHeadLines by the lines of one read buffer.
 	maxHeadBytes = 64 << 10
+	maxHeadLines = 512
 )
 
-// errHeadTooLong means that the head of a response exceeds maxHeadBytes.
-var errHeadTooLong = errors.Errorf("the head of the response is longer than %d bytes", maxHeadBytes)
+// Errors of heads that exceed maxHeadBytes or maxHeadLines.
+var (
+	errHeadTooLong      = errors.Errorf("the head of the response is longer than %d bytes", maxHeadBytes)
+	errTooManyHeadLines = errors.Errorf("the head of the response has more than %d lines", maxHeadLines)
+)
 
 // conn is a connection to a server that carries one request at a time.
 type conn struct {
 	raw    net.Conn
 	reader *bufio.Reader
-	// headBytesLeft is how many bytes may still be read of the head of a response. It
-	// applies while readingHead is set.
-	headBytesLeft int
-	readingHead   bool
+	// headBytesLeft and headLinesLeft are how many bytes and lines may still be read of
+	// the head of a response. They apply while readingHead is set.
+	headBytesLeft, headLinesLeft int
+	readingHead                  bool
+	// idleSince is when the connection became idle.
+	idleSince time.Time
 	// idleUntil is until when the connection may be reused, and shortIdleUntil until
 	// when it may be while the short idle timeout applies.
 	idleUntil, shortIdleUntil time.Time
 	// written reports whether a byte of the current request may have been sent.
 	written atomic.Bool
+	// closeOnce guards closing the connection, and onClose is called after it.
+	closeOnce sync.Once
+	onClose   func()
 }
 
-func newConn(raw net.Conn) *conn {
-	c := &conn{raw: raw}
+func newConn(raw net.Conn, onClose func()) *conn {
+	c := &conn{raw: raw, onClose: onClose}
 	c.reader = bufio.NewReaderSize(connReader{c}, readBufferSize)
 	return c
 }
@@ -64,16 +76,25 @@
 	if !c.readingHead {
 		return c.raw.Read(p)
 	}
-	if c.headBytesLeft <= 0 {
+	switch {
+	case c.headBytesLeft <= 0:
 		return 0, errHeadTooLong
+	case c.headLinesLeft <= 0:
+		return 0, errTooManyHeadLines
 	}
 	n, err = c.raw.Read(p[:min(len(p), c.headBytesLeft)])
 	c.headBytesLeft -= n
+	c.headLinesLeft -= bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
 // close closes the connection. The error is ignored because no request is in flight.
-func (c *conn) close() { _ = c.raw.Close() }
+func (c *conn) close() {
+	c.closeOnce.Do(func() {
+		_ = c.raw.Close()
+		c.onClose()
+	})
+}
 
 // isReusable reports whether the connection is open and has no bytes to read: bytes
 // that arrive on an idle connection belong to no request.
@@ -176,7 +197,7 @@
 // after the whole body has been read.
 func (c *conn) read(method string) (resp *Response, keep bool, err error) {
 	request := &http.Request{Method: method}
-	c.readingHead, c.headBytesLeft = true, maxHeadBytes
+	c.readingHead, c.headBytesLeft, c.headLinesLeft = true, maxHeadBytes, maxHeadLines
 	defer func() { c.readingHead = false }()
 	for {
 		httpResp, err := http.ReadResponse(c.reader, request) //nolint:bodyclose // The body is read to its end, or becomes Rest.
--- a/wagupstream/pool.go
+++ b/wagupstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,6 +49,11 @@
 	idle   map[Server][]*conn
 	closed bool
 	stats  Stats
+	// maxConnections bounds open; 0 means no bound.
+	maxConnections int
+	// open counts the connections that are open or being opened. It grows only while mu
+	// is held, so that it never exceeds maxConnections.
+	open atomic.Int64
 
 	restrictions restrictions
 }
@@ -59,6 +65,12 @@
 	Mismatched uint64
 	// Dropped counts connections that broke when they were reused.
 	Dropped uint64
+	// Open is the number of connections that are open or being opened, and Limit its
+	// bound; 0 means none.
+	Open, Limit int
+	// Evicted counts idle connections that were closed because of the bound, and Refused
+	// the exchanges that ended with ErrTooManyConnections.
+	Evicted, Refused uint64
 }
 
 // Option sets a property of a Pool.
@@ -70,6 +82,10 @@
 // WithNow replaces the system clock.
 func WithNow(now func() time.Time) Option { return func(p *Pool) { p.now = now } }
 
+// WithMaxConnections bounds the connections that are open at the same time; 0 means no
+// bound.
+func WithMaxConnections(n int) Option { return func(p *Pool) { p.maxConnections = n } }
+
 // NewPool returns an empty pool. idHeader names the header in which servers echo the ID
 // of a request.
 func NewPool(idHeader string, opts ...Option) *Pool {
@@ -85,7 +101,9 @@
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.stats
+	stats := p.stats
+	stats.Open, stats.Limit = int(p.open.Load()), p.maxConnections
+	return stats
 }
 
 // recordDrop records that a server dropped a reused connection.
@@ -130,12 +148,16 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, dialBy)
 	defer cancel()
+	if err := p.reserve(); err != nil {
+		return nil, false, err
+	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", s.Address.String())
 	if err != nil {
+		p.unreserve()
 		return nil, false, errors.WithMessage(ErrNotSent, err.Error())
 	}
 	p.updateStats(func(s *Stats) { s.Dialed++ })
-	return newConn(raw), false, nil
+	return newConn(raw, p.unreserve), false, nil
 }
 
 // release keeps a connection for later requests.
@@ -146,6 +168,7 @@
 		c.close()
 		return
 	}
+	c.idleSince = p.now()
 	p.idle[s] = append(p.idle[s], c)
 }
 
