waghost: Bound the clients of the operator port

The readiness port accepted any number of connections, heads of up to 1 MB, requests whose body never arrives and responses that are never read.

--- a/waghost/site.go
+++ b/waghost/site.go
@@ -4,14 +4,12 @@
 	"context"
 	"maps"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -319,7 +317,7 @@
 		}
 		return nil
 	})
-	g.Go(func() error { return serve(sharedCtx, s.operatorHandler(), listeners[1]) })
+	g.Go(func() error { return serveOperators(sharedCtx, s.operatorHandler(), listeners[1]) })
 	g.Go(func() error {
 		defer cancel()
 		return s.gateway.Run(ctx, listeners[0], waggateway.ShutdownOptions{GracePeriod: s.settings.GracePeriod, Announce: s.mesh.Leave})
@@ -362,30 +360,3 @@
 		}
 	}
 }
-
-// operatorHandler returns the handler of the readiness port, which also serves the metrics.
-func (s *SiteHost) operatorHandler() http.Handler {
-	e := echo.New()
-	e.GET("/readyz", func(c echo.Context) error {
-		if !s.gateway.Ready() {
-			return c.NoContent(http.StatusServiceUnavailable)
-		}
-		return c.NoContent(http.StatusOK)
-	})
-	e.GET("/metrics", echo.WrapHandler(s.metrics.Handler()))
-	return e
-}
-
-// readHeaderTimeout bounds the time in which an operator has to send a request header.
-const readHeaderTimeout = 5 * time.Second
-
-// serve serves HTTP on a listener until ctx ends.
-func serve(ctx context.Context, h http.Handler, l net.Listener) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
