wagmesh: Bound the connections to the peer port that are no links

A connection on which nothing was sent stayed open for ever, the first frame of an unknown client could have 4 MB, and one host could open up to 2,048 links. The first frame of a link holds the hello and the heartbeat only, so that it fits. A second link that a host opens closes the former one. Frames were bounded already (4 MB).

--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -35,6 +36,7 @@
 	errNoHello       = errors.New("the other host does not say hello")
 	errInvalidHello  = errors.New("the first frame is no hello")
 	errMeshEnded     = errors.New("the mesh has ended")
+	errReplaced      = errors.New("the other host has opened another link")
 )
 
 // stream is the stream of frames of a link.
@@ -123,6 +125,10 @@
 		m.inboundLinks--
 		m.mu.Unlock()
 	}()
+	if c := peerConnOf(in); c != nil {
+		// The connection may stay open without a link.
+		defer c.becomeUnknown(math.MaxInt)
+	}
 	ctx, cancel := context.WithCancelCause(in.Context())
 	defer cancel(nil)
 	l := m.newLink(cancel)
@@ -139,13 +145,13 @@
 	// The heartbeat shows a host that has just started whether it will get the objects of
 	// the store from others.
 	b := &Beat{Complete: m.completeMessages(), Disconnected: m.sync.IsDisconnected()}
-	l.enqueue(func(f *Frame) { f.Hello, f.Beat = hello, b })
+	first := &Frame{Hello: hello, Beat: b}
 	// Recv does not end with ctx when the peer is silent, nor Send when the peer does not
 	// read. To close the stream would wait for such a Send, too.
 	stop := context.AfterFunc(ctx, func() { closeTransport(s) })
 	defer stop()
 	g, gctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return l.sendFrames(gctx, s) })
+	g.Go(func() error { return l.sendFrames(gctx, s, first) })
 	g.Go(func() error { return l.receiveFrames(gctx, s) })
 	g.Go(func() error { return l.awaitHello(gctx) })
 	err = g.Wait()
@@ -187,8 +193,12 @@
 	}
 }
 
-// sendFrames sends the pending frames until the link ends.
-func (l *link) sendFrames(ctx context.Context, s stream) error {
+// sendFrames sends the first frame and then the pending ones until the link ends. Nothing
+// is added to the first frame, because the peer bounds what it reads before the hello.
+func (l *link) sendFrames(ctx context.Context, s stream, first *Frame) error {
+	if err := s.Send(first); err != nil {
+		return err
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -248,6 +258,9 @@
 	}
 	l.peer = peer
 	close(l.greeted)
+	if c := peerConnOf(s); c != nil {
+		c.becomeKnown()
+	}
 	l.mesh.mu.Lock()
 	if l.mesh.ctx.Err() != nil {
 		l.mesh.mu.Unlock()
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -115,8 +115,9 @@
 	// services are the services to whose owners this host keeps a link.
 	services  []string
 	startedAt time.Time
-	// inboundLinks counts the open links that other hosts opened.
-	inboundLinks int
+	// inboundLinks counts the open links that other hosts opened, and unknownConns the
+	// connections of others that have not sent a hello.
+	inboundLinks, unknownConns int
 	// nextSeedIndex, modulo the number of seeds, is the index of the seed that is dialled
 	// next. nextSeedDial is when it may be dialled.
 	nextSeedIndex int
@@ -185,7 +186,7 @@
 	m.sync.SetExpectation(m.expectation)
 	m.sync.SetConfirmationHandler(m.pushConfirmation)
 	m.group.Go(func() error {
-		err := server.Serve(m.ctx, l)
+		err := server.Serve(m.ctx, peerListener{l, m})
 		if ctx.Err() != nil || m.ctx.Err() != nil {
 			return nil
 		}
@@ -384,6 +385,14 @@
 
 // addLink adds a link whose hello was received; m.mu is held.
 func (m *Mesh) addLink(l *link) {
+	if l.inbound {
+		// A host opens one link to another. It has given up one that is still open here.
+		for _, other := range m.links[l.peer.Name] {
+			if other.inbound {
+				other.cancel(errReplaced)
+			}
+		}
+	}
 	m.links[l.peer.Name] = append(m.links[l.peer.Name], l)
 	if l.inSameDataCentre() && (m.sync.HasUnreadKinds() || m.isStale(m.clock.Now())) {
 		// After the start, and while its copy is old, this host takes the objects from
