waglimits: Derive the limits of a host from its memory and descriptors

A host did not use limits.memoryMb and limits.maxFds of its settings. waglimits holds the formulas of docs/HARD-LOAD.md in one place; the host bounds its connections to servers by them, the command sets the memory limit of the Go runtime to 7/8 of the memory, and settings print shows them. Without the settings nothing changes.

go test of waglimits, waghost, commands and platform passes.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/wagtailspar/wagtailspar/platform"
 	"github.com/wagtailspar/wagtailspar/waghangup"
 	"github.com/wagtailspar/wagtailspar/waghost"
+	"github.com/wagtailspar/wagtailspar/waglimits"
 	"github.com/wagtailspar/wagtailspar/waglog"
 	"github.com/wagtailspar/wagtailspar/wagmetrics"
 )
@@ -44,6 +46,9 @@
 			if err != nil {
 				return err
 			}
+			if limit := waglimits.Derive(s.MemoryBytes, s.MaxFileDescriptors).GoMemoryBytes; limit > 0 {
+				debug.SetMemoryLimit(limit)
+			}
 			log := waglog.New(os.Stdout, s.Host, logOptions...)
 			metrics := wagmetrics.NewSiteMetrics()
 			// A second SIGTERM is ignored: the platform sends it when two planned stops
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -13,6 +13,7 @@
 
 	"github.com/wagtailspar/wagtailspar/platform"
 	"github.com/wagtailspar/wagtailspar/wagini"
+	"github.com/wagtailspar/wagtailspar/waglimits"
 	"github.com/wagtailspar/wagtailspar/wagsettings"
 )
 
@@ -71,10 +72,12 @@
 		return err
 	}
 	site := s.SiteSettings()
+	limits := waglimits.Derive(s.MemoryBytes, s.MaxFileDescriptors)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, line := range [][2]any{
 		{"host", s.Host}, {"dataCentre", s.DataCentre}, {"region", s.Region}, {"callers", s.CallerAddress}, {"readiness", s.ReadinessAddress}, {"peers", s.PeerAddress},
 		{"seeds", s.Seeds}, {"processor", s.CPUShare}, {"memoryBytes", s.MemoryBytes}, {"descriptors", s.MaxFileDescriptors},
+		{"callerMemoryBytes", limits.CallerMemoryBytes}, {"callerConnections", limits.CallerConnections}, {"serverConnections", limits.ServerConnections},
 		{"store", s.Store.Address}, {"storeWritesPerSecond", s.Store.WritesPerSecond}, {"storeReadsPerSecond", s.Store.ReadsPerSecond},
 		{"drain", s.Bounds.DrainTimeout}, {"grace", s.Bounds.GracePeriod}, {"apply", s.Bounds.ApplyTimeout},
 		{"retryRatio", site.Limits.RetryRatio}, {"retryWindow", site.Limits.RetryWindow}, {"retrySlackOfDataCentre", site.Limits.RetrySlack},
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -15,6 +15,7 @@
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/waggateway"
+	"github.com/wagtailspar/wagtailspar/waglimits"
 	"github.com/wagtailspar/wagtailspar/waglog"
 	"github.com/wagtailspar/wagtailspar/wagmesh"
 	"github.com/wagtailspar/wagtailspar/wagmetrics"
@@ -60,6 +61,10 @@
 	ApplyTimeout time.Duration
 	// Limits bound the retries and probes of the server groups that this host owns.
 	Limits wagowner.Limits
+	// MemoryBytes and MaxFileDescriptors are the limits of the process, from which
+	// waglimits derives those of the host; 0 when they are not known.
+	MemoryBytes        int64
+	MaxFileDescriptors int
 }
 
 // SiteHost is a host on the platform, which serves the routes of one site.
@@ -110,7 +115,8 @@
 		o(s)
 	}
 	obs := observer{log: s.log, metrics: s.metrics}
-	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader())
+	limits := waglimits.Derive(settings.MemoryBytes, settings.MaxFileDescriptors)
+	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader(), wagupstream.WithMaxConnections(limits.ServerConnections))
 	s.owner = wagowner.New(settings.DataCentre, &prober{host: s, protocol: protocol}, wagowner.WithClock(s.clock), wagowner.WithObserver(obs),
 		wagowner.WithLimits(settings.Limits))
 	s.sync = wagsync.New(store, s.applyRecords, decoder.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()), wagsync.WithFirstStart(settings.FirstStart))
