waghost: Log and count the callers that are refused for lack of connections

Operators could not see that a host was short of connections. A dial that fails because no descriptor is left no longer counts against the server.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -19,11 +19,12 @@
 	reasonDeadline   = "deadline"
 	// reasonRestricted means that the server had asked this host for no requests.
 	reasonRestricted = "restricted"
-	// reasonTooManyConnections means that the request would have needed a connection
-	// beyond this host's share for servers.
-	reasonTooManyConnections = "tooManyConnections"
 )
 
+// ReasonTooManyConnections is the reason of requests that would have needed a connection
+// beyond the host's share for servers.
+const ReasonTooManyConnections = "tooManyConnections"
+
 // attempt is one sending of a request to a server.
 type attempt struct {
 	granted wagowner.Granted
@@ -79,11 +80,11 @@
 // finish reports the result of an attempt to the owner and to the observer.
 func (q *request) finish(t *attempt) {
 	t.granted.Finish(t.result)
-	if t.result.Fault == wagplacement.FaultConnect || t.reason == reasonRestricted || t.reason == reasonTooManyConnections {
+	if t.result.Fault == wagplacement.FaultConnect || t.reason == reasonRestricted || t.reason == ReasonTooManyConnections {
 		// Nothing was sent: the server counts in serversTried only.
 		q.attempts--
 	}
-	if t.reason == reasonTooManyConnections {
+	if t.reason == ReasonTooManyConnections {
 		// No server has an idle connection at this moment: others are not tried, because
 		// each try costs the owner a grant.
 		q.serversTried = maxServersTried
@@ -139,7 +140,7 @@
 		case errors.Is(err, wagupstream.ErrRestricted):
 			return r, reasonRestricted
 		case errors.Is(err, wagupstream.ErrTooManyConnections):
-			return r, reasonTooManyConnections
+			return r, ReasonTooManyConnections
 		}
 		switch r.Fault {
 		case wagplacement.FaultCanceled:
--- a/waggateway/attempt_test.go
+++ b/waggateway/attempt_test.go
@@ -64,6 +64,6 @@
 		resp, final := q.responseOrRetry(ctx, last)
 		is.True(final)
 		is.Equal(resp.status, x.status)
-		is.Equal(resp.reason, reasonTooManyConnections)
+		is.Equal(resp.reason, ReasonTooManyConnections)
 	}
 }
--- a/waghost/observe.go
+++ b/waghost/observe.go
@@ -13,8 +13,10 @@
 
 // observer writes the decisions of a host to its log and its metrics.
 type observer struct {
-	log     *waglog.Log
-	metrics *wagmetrics.SiteMetrics
+	log       *waglog.Log
+	metrics   *wagmetrics.SiteMetrics
+	shortages *shortages
+	now       func() time.Time
 }
 
 var (
@@ -25,6 +27,10 @@
 // RequestEnded counts and logs a request that has ended.
 func (o observer) RequestEnded(e waggateway.RequestResult) {
 	o.metrics.Requests.WithLabelValues(e.Route, string(e.Outcome), e.Reason).Inc()
+	if e.Outcome == waggateway.OutcomeRefused && e.Reason == waggateway.ReasonTooManyConnections {
+		o.countRefusal(causeServerConnections)
+		o.logShortage(causeServerConnections)
+	}
 	if e.Route != "" {
 		o.metrics.RequestDuration.WithLabelValues(e.Route).Observe(e.Duration.Seconds())
 		o.metrics.WaitDuration.WithLabelValues(e.Service).Observe(e.WaitTime.Seconds())
@@ -89,6 +95,33 @@
 	}
 }
 
+// causeServerConnections is the cause of requests that are refused because this host has
+// its share of connections to servers.
+const causeServerConnections = "serverConnections"
+
+// countRefusal counts a caller that was refused or whose connection was closed.
+func (o observer) countRefusal(cause string) { o.metrics.CallersRefused.WithLabelValues(cause).Inc() }
+
+// logShortage logs that this host begins to refuse callers because of a shortage.
+func (o observer) logShortage(cause string) {
+	if o.shortages.record(o.now(), cause) {
+		o.log.Warn(waglog.KindHost, waglog.Fields{"event": "shortage", "cause": cause})
+	}
+}
+
+// logEndOfShortage logs that no caller was refused for some time because of a shortage.
+func (o observer) logEndOfShortage() {
+	over, ended := o.shortages.end(o.now())
+	if !ended {
+		return
+	}
+	var total uint64
+	for _, n := range over.refused {
+		total += n
+	}
+	o.log.Warn(waglog.KindHost, waglog.Fields{"event": "shortageOver", "refused": total, "causes": over.refused, "lastedMs": ms(over.duration)})
+}
+
 // ms returns a duration in milliseconds with three decimals.
 func ms(d time.Duration) float64 {
 	return float64(d.Microseconds()) / 1000
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -79,6 +79,7 @@
 	mesh     *wagmesh.Mesh
 	gateway  *waggateway.Gateway
 	upstream *wagupstream.Pool
+	observer observer
 	// seeds are the seeds of the latest settings.
 	seeds atomic.Pointer[[]netip.AddrPort]
 	// restartOnce limits the warning about settings that need a restart to one line.
@@ -114,7 +115,8 @@
 	for _, o := range opts {
 		o(s)
 	}
-	obs := observer{log: s.log, metrics: s.metrics}
+	obs := observer{log: s.log, metrics: s.metrics, shortages: newShortages(), now: s.clock.Now}
+	s.observer = obs
 	limits := waglimits.Derive(settings.MemoryBytes, settings.MaxFileDescriptors)
 	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader(), wagupstream.WithMaxConnections(limits.ServerConnections))
 	s.owner = wagowner.New(settings.DataCentre, &prober{host: s, protocol: protocol}, wagowner.WithClock(s.clock), wagowner.WithObserver(obs),
@@ -279,6 +281,9 @@
 	})
 	s.metrics.RegisterCounter("site_connections_total", "Connections opened to servers.", func() float64 { return float64(s.upstream.Stats().Dialed) })
 	s.metrics.RegisterCounter("site_dropped_connections_total", "Kept connections to servers that broke when they were used again.", func() float64 { return float64(s.upstream.Stats().Dropped) })
+	s.metrics.RegisterGauge("site_server_connections", "Open connections to servers.", func() float64 { return float64(s.upstream.Stats().Open) })
+	s.metrics.RegisterGauge("site_server_connections_limit", "Permitted connections to servers; 0 means any number.", func() float64 { return float64(s.upstream.Stats().Limit) })
+	s.metrics.RegisterCounter("site_evicted_connections_total", "Idle connections to servers that were closed because of the limit.", func() float64 { return float64(s.upstream.Stats().Evicted) })
 	s.metrics.RegisterCounter("site_foreign_answers_total", "Answers of servers that belonged to other requests.", func() float64 { return float64(s.upstream.Stats().Mismatched) })
 	s.metrics.RegisterCounter("site_log_lines_dropped_total", "Log lines that were left out.", func() (sum float64) {
 		for _, n := range s.log.DroppedCounts() {
@@ -320,6 +325,7 @@
 	g.Go(func() error {
 		for wagclock.Wait(sharedCtx, s.clock, s.clock.Now().Add(pruneInterval)) {
 			s.upstream.Prune(s.registrationCheck())
+			s.observer.logEndOfShortage()
 		}
 		return nil
 	})
--- a/wagmetrics/site.go
+++ b/wagmetrics/site.go
@@ -41,6 +41,10 @@
 	ReportAge *prometheus.HistogramVec
 	// StoreCalls counts the calls to the platform's store.
 	StoreCalls *prometheus.CounterVec
+	// CallersRefused counts the requests that were refused and the connections of callers
+	// that were closed, by cause, because the host is short of memory or connections or
+	// because a caller exceeds a limit.
+	CallersRefused *prometheus.CounterVec
 	// InvalidObjects counts the objects of the platform's store that could not be decoded.
 	InvalidObjects *prometheus.CounterVec
 	// ConfigVersion is the version of the configuration in force, and ConfigWarnings the
@@ -64,11 +68,12 @@
 		Probes:          counter("site_probes_total", "Reports asked of servers.", "service", "fault"),
 		ReportAge:       histogram("site_report_age_seconds", "Age of the report on which a server was granted.", reportAgeBuckets, "service"),
 		StoreCalls:      counter("site_store_calls_total", "Calls to the platform's store.", "kind", "outcome"),
+		CallersRefused:  counter("site_callers_refused_total", "Callers refused or closed because of a limit.", "cause"),
 		InvalidObjects:  counter("site_invalid_objects_total", "Objects of the platform's store that could not be decoded.", "kind"),
 		ConfigVersion:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "site_config_version", Help: "Version of the configuration in force."}),
 		ConfigWarnings:  prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "site_config_warnings", Help: "Parts of the configuration in force that are not used as written."}),
 	}
-	s.registry.MustRegister(s.Requests, s.RequestDuration, s.WaitDuration, s.Attempts, s.Repeats, s.Grants, s.Refusals, s.Spills, s.Probes, s.ReportAge, s.StoreCalls, s.InvalidObjects, s.ConfigVersion, s.ConfigWarnings)
+	s.registry.MustRegister(s.Requests, s.RequestDuration, s.WaitDuration, s.Attempts, s.Repeats, s.Grants, s.Refusals, s.Spills, s.Probes, s.ReportAge, s.StoreCalls, s.CallersRefused, s.InvalidObjects, s.ConfigVersion, s.ConfigWarnings)
 	return s
 }
 
--- a/wagupstream/limit.go
+++ b/wagupstream/limit.go
@@ -1,9 +1,13 @@
 package wagupstream
 
-import "github.com/pkg/errors"
+import (
+	"syscall"
+
+	"github.com/pkg/errors"
+)
 
 // ErrTooManyConnections means that the request would have needed a connection beyond the
-// bound of the pool, so that it was not sent. It says nothing about the server. It
+// bound of the pool or the descriptors of the process, so that it was not sent. It says nothing about the server. It
 // matches ErrNotSent, too.
 var ErrTooManyConnections = errors.WithMessage(ErrNotSent, "too many connections to servers")
 
@@ -44,3 +48,9 @@
 	}
 	return oldest
 }
+
+// isOutOfDescriptors reports whether a connection could not be opened because the process
+// or the machine has no descriptor left, which is no fault of the server.
+func isOutOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
--- a/wagupstream/limit_test.go
+++ b/wagupstream/limit_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,3 +152,21 @@
 		})
 	}
 }
+
+type failingDialer struct{ err error }
+
+func (d failingDialer) DialContext(context.Context, string, string) (net.Conn, error) {
+	return nil, d.err
+}
+
+// Guards against servers that are taken for unreachable because this process has no
+// descriptor left.
+func TestOutOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	s := newEchoServer(t, nil)
+	p := NewPool(idHeader, WithDialer(failingDialer{&net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}}))
+	_, _, err := send(p, s, newGet("r1"))
+	is.True(errors.Is(err, ErrTooManyConnections))
+	is.Equal(p.Stats().Open, 0)
+	is.Equal(p.Stats().Refused, uint64(1))
+}
--- a/wagupstream/pool.go
+++ b/wagupstream/pool.go
@@ -154,6 +154,10 @@
 	raw, err := p.dialer.DialContext(ctx, "tcp", s.Address.String())
 	if err != nil {
 		p.unreserve()
+		if isOutOfDescriptors(err) {
+			p.updateStats(func(s *Stats) { s.Refused++ })
+			return nil, false, ErrTooManyConnections
+		}
 		return nil, false, errors.WithMessage(ErrNotSent, err.Error())
 	}
 	p.updateStats(func(s *Stats) { s.Dialed++ })
