--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -21,6 +21,10 @@
 	reasonRestricted = "restricted"
 )
 
+// ReasonTooManyConnections is the reason of requests that would have needed a connection
+// beyond the host's share for servers.
+const ReasonTooManyConnections = "tooManyConnections"
+
 // attempt is one sending of a request to a server.
 type attempt struct {
 	granted wagowner.Granted
@@ -76,10 +80,15 @@
 // finish reports the result of an attempt to the owner and to the observer.
 func (q *request) finish(t *attempt) {
 	t.granted.Finish(t.result)
-	if t.result.Fault == wagplacement.FaultConnect || t.reason == reasonRestricted {
+	if t.result.Fault == wagplacement.FaultConnect || t.reason == reasonRestricted || t.reason == ReasonTooManyConnections {
 		// Nothing was sent: the server counts in serversTried only.
 		q.attempts--
 	}
+	if t.reason == ReasonTooManyConnections {
+		// No server has an idle connection at this moment: others are not tried, because
+		// each try costs the owner a grant.
+		q.serversTried = maxServersTried
+	}
 	q.gateway.observer.AttemptEnded(q.attemptResult(t))
 }
 
@@ -127,8 +136,11 @@
 func (q *request) classify(ctx context.Context, resp *wagupstream.Response, err error) (r wagplacement.Result, reason string) {
 	if err != nil {
 		r.Fault = q.classifyError(ctx, err)
-		if errors.Is(err, wagupstream.ErrRestricted) {
+		switch {
+		case errors.Is(err, wagupstream.ErrRestricted):
 			return r, reasonRestricted
+		case errors.Is(err, wagupstream.ErrTooManyConnections):
+			return r, ReasonTooManyConnections
 		}
 		switch r.Fault {
 		case wagplacement.FaultCanceled:
@@ -176,6 +188,9 @@
 // classifyError returns the fault that an error of an exchange stands for.
 func (q *request) classifyError(ctx context.Context, err error) wagplacement.Fault {
 	switch {
+	case errors.Is(err, wagupstream.ErrTooManyConnections):
+		// The cause is this host, so that the server stays in service.
+		return wagplacement.FaultCanceled
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && q.incoming.Context().Err() == nil:
 		return wagplacement.FaultTimeout
 	case ctx.Err() != nil:
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -4,19 +4,18 @@
 	"context"
 	"maps"
 	"net"
-	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/waggateway"
+	"github.com/wagtailspar/wagtailspar/waglimits"
 	"github.com/wagtailspar/wagtailspar/waglog"
 	"github.com/wagtailspar/wagtailspar/wagmesh"
 	"github.com/wagtailspar/wagtailspar/wagmetrics"
@@ -62,6 +61,10 @@
 	ApplyTimeout time.Duration
 	// Limits bound the retries and probes of the server groups that this host owns.
 	Limits wagowner.Limits
+	// MemoryBytes and MaxFileDescriptors are the limits of the process, from which
+	// waglimits derives those of the host; 0 when they are not known.
+	MemoryBytes        int64
+	MaxFileDescriptors int
 }
 
 // SiteHost is a host on the platform, which serves the routes of one site.
@@ -76,6 +79,7 @@
 	mesh     *wagmesh.Mesh
 	gateway  *waggateway.Gateway
 	upstream *wagupstream.Pool
+	observer observer
 	// seeds are the seeds of the latest settings.
 	seeds atomic.Pointer[[]netip.AddrPort]
 	// restartOnce limits the warning about settings that need a restart to one line.
@@ -111,8 +115,10 @@
 	for _, o := range opts {
 		o(s)
 	}
-	obs := observer{log: s.log, metrics: s.metrics}
-	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader())
+	obs := observer{log: s.log, metrics: s.metrics, shortages: newShortages(), now: s.clock.Now}
+	s.observer = obs
+	limits := waglimits.Derive(settings.MemoryBytes, settings.MaxFileDescriptors)
+	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader(), wagupstream.WithMaxConnections(limits.ServerConnections))
 	s.owner = wagowner.New(settings.DataCentre, &prober{host: s, protocol: protocol}, wagowner.WithClock(s.clock), wagowner.WithObserver(obs),
 		wagowner.WithLimits(settings.Limits))
 	s.sync = wagsync.New(store, s.applyRecords, decoder.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()), wagsync.WithFirstStart(settings.FirstStart))
@@ -275,6 +281,9 @@
 	})
 	s.metrics.RegisterCounter("site_connections_total", "Connections opened to servers.", func() float64 { return float64(s.upstream.Stats().Dialed) })
 	s.metrics.RegisterCounter("site_dropped_connections_total", "Kept connections to servers that broke when they were used again.", func() float64 { return float64(s.upstream.Stats().Dropped) })
+	s.metrics.RegisterGauge("site_server_connections", "Open connections to servers.", func() float64 { return float64(s.upstream.Stats().Open) })
+	s.metrics.RegisterGauge("site_server_connections_limit", "Permitted connections to servers; 0 means any number.", func() float64 { return float64(s.upstream.Stats().Limit) })
+	s.metrics.RegisterCounter("site_evicted_connections_total", "Idle connections to servers that were closed because of the limit.", func() float64 { return float64(s.upstream.Stats().Evicted) })
 	s.metrics.RegisterCounter("site_foreign_answers_total", "Answers of servers that belonged to other requests.", func() float64 { return float64(s.upstream.Stats().Mismatched) })
 	s.metrics.RegisterCounter("site_log_lines_dropped_total", "Log lines that were left out.", func() (sum float64) {
 		for _, n := range s.log.DroppedCounts() {
@@ -316,10 +325,11 @@
 	g.Go(func() error {
 		for wagclock.Wait(sharedCtx, s.clock, s.clock.Now().Add(pruneInterval)) {
 			s.upstream.Prune(s.registrationCheck())
+			s.observer.logEndOfShortage()
 		}
 		return nil
 	})
-	g.Go(func() error { return serve(sharedCtx, s.operatorHandler(), listeners[1]) })
+	g.Go(func() error { return serveOperators(sharedCtx, s.operatorHandler(), listeners[1]) })
 	g.Go(func() error {
 		defer cancel()
 		return s.gateway.Run(ctx, listeners[0], waggateway.ShutdownOptions{GracePeriod: s.settings.GracePeriod, Announce: s.mesh.Leave})
@@ -362,30 +372,3 @@
 		}
 	}
 }
-
-// operatorHandler returns the handler of the readiness port, which also serves the metrics.
-func (s *SiteHost) operatorHandler() http.Handler {
-	e := echo.New()
-	e.GET("/readyz", func(c echo.Context) error {
-		if !s.gateway.Ready() {
-			return c.NoContent(http.StatusServiceUnavailable)
-		}
-		return c.NoContent(http.StatusOK)
-	})
-	e.GET("/metrics", echo.WrapHandler(s.metrics.Handler()))
-	return e
-}
-
-// readHeaderTimeout bounds the time in which an operator has to send a request header.
-const readHeaderTimeout = 5 * time.Second
-
-// serve serves HTTP on a listener until ctx ends.
-func serve(ctx context.Context, h http.Handler, l net.Listener) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
