waggateway: Bound what callers hold together, and end what stalls

Callers saw a host killed for lack of memory. net/http reads up to 1 MB of a head before the configured limit is compared, a header line costs many times its bytes, any number of pipelined requests was parsed and kept, and nothing bounded the sum.

A connection reserves its memory from a wagbudget.Budget: 20 KB when it is opened, 4 bytes a byte and 512 a line of its head, kept bodies, bytes read ahead, parsed pipelined requests and the buffered part of a response. A head beyond headerBytes + 4096 ends with 431, a head without memory with 503. At most 8 parsed requests wait; further ones stay bytes. A response for which there is no memory becomes 502, because the request has run.

--- a/waggateway/observe.go
+++ b/waggateway/observe.go
@@ -62,10 +62,33 @@
 	TimeLeft time.Duration
 }
 
+// RefusalCause says why a request was refused or a connection was closed that takes more
+// than its share.
+type RefusalCause string
+
+// Causes of refusals.
+const (
+	// CauseHeadTooLong means that a head exceeds the limit of the configuration.
+	CauseHeadTooLong RefusalCause = "headTooLong"
+	// CauseHeadTimeout means that a head was not complete in time.
+	CauseHeadTimeout RefusalCause = "headTimeout"
+	// CauseMemory means that the memory for callers is used up.
+	CauseMemory RefusalCause = "memory"
+	// CauseConnections means that there are too many connections.
+	CauseConnections RefusalCause = "connections"
+	// CauseBodyTimeout means that a body made no progress or was not complete in time.
+	CauseBodyTimeout RefusalCause = "bodyTimeout"
+	// CauseWriteTimeout means that a caller did not take its response.
+	CauseWriteTimeout RefusalCause = "writeTimeout"
+)
+
 // Observer receives the results of requests and attempts. It must not block.
 type Observer interface {
 	RequestEnded(e RequestResult)
 	AttemptEnded(e AttemptResult)
+	// CallerRefused is called once for each connection that is closed and each request
+	// that is refused to protect the host.
+	CallerRefused(cause RefusalCause)
 }
 
 type noopObserver struct{}
@@ -78,5 +101,8 @@
 // AttemptEnded does nothing.
 func (noopObserver) AttemptEnded(AttemptResult) {}
 
+// CallerRefused does nothing.
+func (noopObserver) CallerRefused(RefusalCause) {}
+
 // WithObserver sets the observer.
 func WithObserver(o Observer) Option { return func(g *Gateway) { g.observer = o } }
--- a/waggateway/observe_test.go
+++ b/waggateway/observe_test.go
@@ -20,6 +20,8 @@
 
 func (r *reasonRecorder) AttemptEnded(e AttemptResult) { r.add(e.Reason) }
 
+func (r *reasonRecorder) CallerRefused(cause RefusalCause) { r.add(string(cause)) }
+
 func (r *reasonRecorder) add(reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -20,6 +20,8 @@
 const (
 	// maxAhead bounds the requests of a connection that run ahead of their turn.
 	maxAhead = 8
+	// maxWaiting bounds the parsed requests of a connection that wait to run ahead.
+	maxWaiting = 8
 	// maxUnreadBytes bounds the bytes that are read from a connection before net/http
 	// asks for them, and the size of a request that runs ahead.
 	maxUnreadBytes = 64 << 10
@@ -56,7 +58,8 @@
 	// handling is set while a handler runs.
 	handling bool
 	// ahead holds the requests that run ahead, by their number on the connection.
-	// waiting holds those that exceed maxAhead, in order.
+	// waiting holds those that exceed maxAhead, in order, and at most maxWaiting. Bytes of
+	// further ones stay in head.
 	ahead   map[int]*execution
 	waiting []pipelinedRequest
 	// reading is set while readAhead runs. Read then takes what that has received from
@@ -65,12 +68,15 @@
 	unread  []byte
 	readErr error
 	closed  bool
+	usage
 }
 
 // pipelinedRequest is a request with its number on the connection, which begins at 1.
 type pipelinedRequest struct {
 	number  int
 	request *http.Request
+	// cost is the memory in bytes that is reserved for the request.
+	cost int64
 }
 
 // execution is a request that is placed and sent to servers, up to its response.
@@ -83,6 +89,9 @@
 	// request is nil when the request was not accepted.
 	request  *request
 	response response
+	// headCost and responseCost are the memory in bytes that is reserved for the head of a
+	// request that runs ahead and for the body of the response.
+	headCost, responseCost int64
 }
 
 // isFor reports whether the execution is that of a request.
@@ -98,11 +107,17 @@
 
 // Accept waits for the next connection.
 func (l callerListener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newCallerConn(raw, l.gateway)
+		if l.gateway.callers.add(c) {
+			return c, nil
+		}
+		_ = raw.Close() // the connection is refused
 	}
-	return newCallerConn(raw, l.gateway), nil
 }
 
 func newCallerConn(raw net.Conn, g *Gateway) *callerConn {
@@ -132,6 +147,24 @@
 
 // Read reads from the connection.
 func (c *callerConn) Read(p []byte) (n int, err error) {
+	n, err = c.read(p)
+	if err != nil && c.isHeadExpired(err) {
+		c.refuse(CauseHeadTimeout, p)
+		return 0, c.refusedError()
+	}
+	if n == 0 {
+		return n, err
+	}
+	c.progress.Add(1)
+	if cause := c.countHead(p[:n]); cause != "" {
+		c.gateway.observer.CallerRefused(cause)
+		c.refuse(cause, p)
+		return 0, c.refusedError()
+	}
+	return n, err
+}
+
+func (c *callerConn) read(p []byte) (n int, err error) {
 	c.mu.Lock()
 	for c.reading && len(c.unread) == 0 {
 		c.changed.Wait()
@@ -139,6 +172,7 @@
 	if len(c.unread) > 0 {
 		n = copy(p, c.unread)
 		c.unread = c.unread[n:]
+		c.release(unreadByteCost * int64(n))
 		c.changed.Broadcast()
 		c.mu.Unlock()
 		return n, nil
@@ -170,6 +204,15 @@
 	for {
 		n, err := c.Conn.Read(buffer)
 		c.mu.Lock()
+		if !c.reserve(unreadByteCost * int64(n)) {
+			// The responses to the requests so far are still written.
+			c.stopTracking()
+			c.reading, c.readErr = false, c.refusedError()
+			c.changed.Broadcast()
+			c.mu.Unlock()
+			c.gateway.observer.CallerRefused(CauseMemory)
+			return nil
+		}
 		c.unread = append(c.unread, buffer[:n]...)
 		c.receive(buffer[:n])
 		c.reading = err == nil
@@ -217,30 +260,56 @@
 	c.closed = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	if c.gateway != nil {
+		c.gateway.callers.remove(c)
+	}
+	return err
 }
 
 // receive looks for complete requests in the received bytes and runs those ahead that
 // wait for an earlier one; c.mu is held.
 func (c *callerConn) receive(p []byte) {
-	for _, r := range c.search(p) {
-		c.received++
-		if c.handling || c.received > c.begun+1 {
-			r.RemoteAddr = c.RemoteAddr().String()
-			c.waiting = append(c.waiting, pipelinedRequest{number: c.received, request: r})
+	for {
+		c.startWaiting() // makes room for others
+		found := c.search(p, maxWaiting-len(c.waiting))
+		p = nil
+		for _, r := range found {
+			c.received++
+			if c.handling || c.received > c.begun+1 {
+				c.addWaiting(r)
+			}
+		}
+		if len(found) == 0 {
+			return
 		}
 	}
-	c.startWaiting()
 }
 
-// search returns the requests that the received bytes complete. It ends for good at
-// anything but a request that parseHead accepts; c.mu is held.
-func (c *callerConn) search(p []byte) (found []*http.Request) {
+// addWaiting adds the request that was received last to those that wait to run ahead;
+// c.mu is held.
+func (c *callerConn) addWaiting(r *http.Request) {
+	cost := requestCost(r)
+	if c.received <= c.begun || !c.reserve(cost) {
+		return // the request waits for its turn
+	}
+	r.RemoteAddr = c.RemoteAddr().String()
+	c.waiting = append(c.waiting, pipelinedRequest{number: c.received, request: r, cost: cost})
+}
+
+// search returns up to limit requests that the received bytes complete, and keeps the
+// bytes of further ones. It ends for good at anything but a request that parseHead
+// accepts; c.mu is held.
+func (c *callerConn) search(p []byte, limit int) (found []*http.Request) {
 	if !c.tracking {
 		return nil
 	}
 	c.head = append(c.head, p...)
-	for {
+	if len(c.head) > 2*maxUnreadBytes {
+		c.stopTracking()
+		return nil
+	}
+	for len(found) < limit {
 		before, rest, complete := bytes.Cut(c.head, []byte("\r\n\r\n"))
 		if !complete {
 			if len(c.head) > maxUnreadBytes {
@@ -256,6 +325,7 @@
 		found = append(found, r)
 		c.head = append(c.head[:0], rest...)
 	}
+	return found
 }
 
 // stopTracking ends the search for pipelined requests on the connection; c.mu is held.
@@ -320,19 +390,21 @@
 	for len(c.waiting) > 0 && len(c.ahead) < maxAhead && c.ctx.Err() == nil {
 		next := c.waiting[0]
 		c.waiting = c.waiting[1:]
-		if next.number <= c.begun {
-			continue
-		}
-		if x := c.gateway.startAhead(c, next.request); x != nil {
-			c.ahead[next.number] = x
+		if next.number > c.begun {
+			if x := c.gateway.startAhead(c, next); x != nil {
+				c.ahead[next.number] = x
+				continue
+			}
 		}
+		c.release(next.cost)
 	}
 }
 
 // startAhead begins the execution of a pipelined request. It returns nil for a request
 // that has to wait for its turn. None starts during a shutdown, because the connection
 // closes after the response that the caller waits for.
-func (g *Gateway) startAhead(c *callerConn, r *http.Request) *execution {
+func (g *Gateway) startAhead(c *callerConn, p pipelinedRequest) *execution {
+	r := p.request
 	config := g.config.Load()
 	if config == nil || g.shuttingDown.Load() {
 		return nil
@@ -341,7 +413,7 @@
 		return nil
 	}
 	x := g.newExecution(r.WithContext(c.ctx))
-	x.ended = make(chan struct{})
+	x.ended, x.headCost = make(chan struct{}), p.cost
 	c.tasks.Go(func() error {
 		x.runAhead(g)
 		return nil
@@ -376,6 +448,7 @@
 func (x *execution) run() {
 	if x.request != nil {
 		x.response = x.request.run()
+		x.reserveResponse()
 	}
 }
 
@@ -393,6 +466,9 @@
 		x.request.cancelAttempts()
 		x.request.releaseBody()
 	}
+	if conn := callerConnOf(x.incoming); conn != nil {
+		conn.release(x.responseCost)
+	}
 	x.cancel()
 }
 
@@ -403,17 +479,25 @@
 	defer c.mu.Unlock()
 	c.begun++
 	c.handling = true
+	c.endHead()
 	x := c.ahead[c.begun]
 	delete(c.ahead, c.begun)
+	if x != nil {
+		c.headCost += x.headCost
+	}
 	isOther := x != nil && !x.isFor(c.gateway.protocol, r)
 	// The search ends at a body, so that nothing runs ahead beside or after one.
 	isBodyMissed := r.ContentLength != 0 && (x != nil || len(c.ahead) > 0)
 	if isOther || isBodyMissed {
 		// The search has lost its place. Its executions are those of no request.
 		c.stopTracking()
+		for _, next := range c.waiting {
+			c.release(next.cost)
+		}
 		c.waiting = nil
 		for number, other := range c.ahead {
 			other.cancel()
+			c.release(other.headCost)
 			delete(c.ahead, number)
 		}
 		if x != nil {
@@ -421,7 +505,7 @@
 		}
 		x = nil
 	}
-	c.startWaiting()
+	c.receive(nil)
 	return x
 }
 
@@ -430,6 +514,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling = false
+	c.activity = finishing
 }
 
 // hasAhead reports whether requests run ahead that a close after the current response
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -20,11 +21,9 @@
 	// maxBufferedBody is the size in bytes up to which a body is kept in memory, so
 	// that it can be sent again.
 	maxBufferedBody = 256 << 10
-	// maxBufferedBodies bounds the bodies in memory of all requests together. A body
-	// beyond that is kept up to minBufferedBody and streamed, so that its request cannot
-	// be sent to a second server.
-	maxBufferedBodies = 32 << 20
-	minBufferedBody   = 4 << 10
+	// minBufferedBody is the part of a body that is kept when there is no memory for
+	// more. The rest is streamed, so that the request cannot be sent to a second server.
+	minBufferedBody = 4 << 10
 	// dialTimeout bounds the wait for a connection to a server. A connect takes 1 ms
 	// plus the delay of the link; a lost packet is retransmitted only after a second.
 	dialTimeout = 150 * time.Millisecond
@@ -58,7 +57,7 @@
 	body          []byte
 	bodyRest      io.Reader
 	contentLength int64
-	// bodyReserved is the part of maxBufferedBodies that the request takes.
+	// bodyReserved is the memory in bytes that is reserved for the body.
 	bodyReserved int64
 	// mayHaveRun reports whether a server may have run the request in an earlier
 	// attempt.
@@ -116,6 +115,9 @@
 	x.await()
 	g.observer.RequestEnded(g.requestResult(r, x))
 	closing := r.Close || x.incoming.Close || g.shuttingDown.Load() && (conn == nil || !conn.hasAhead())
+	if conn != nil && (x.response.upstream == nil || x.response.upstream.BodyRest == nil) {
+		conn.setActivity(finishing)
+	}
 	g.writeResponse(w, r, x.response, closing)
 }
 
@@ -130,7 +132,8 @@
 		result.Route, result.Service, result.ConfigVersion, result.ServerID, result.Attempts, result.WaitTime = q.route.Name, q.service, q.configVersion, q.lastServer, q.attempts, q.waitTime
 		result.WithinGoal = resp.outcome == OutcomeAnswered && result.Duration <= q.route.Goal
 	}
-	if r.Context().Err() != nil {
+	// net/http cancels the context of a request whose body was not received in time.
+	if r.Context().Err() != nil && resp.status != http.StatusRequestTimeout {
 		result.Outcome = OutcomeCanceled
 	}
 	return result
@@ -159,6 +162,9 @@
 // response when no server is needed to answer.
 func (g *Gateway) newRequest(r *http.Request) (*request, response) {
 	now := g.clock.Now()
+	if conn := callerConnOf(r); conn != nil && conn.evicted.Load() {
+		return nil, g.memoryRefusal()
+	}
 	config := g.awaitConfig(r)
 	if config == nil {
 		return nil, response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: "noConfiguration", retryAt: g.clock.Now().Add(noConfigRetryDelay)}
@@ -216,9 +222,20 @@
 	if q.incoming.ContentLength > limit {
 		return &response{status: http.StatusRequestEntityTooLarge, outcome: OutcomeRejected, reason: "bodyTooLong"}
 	}
+	keep, ok := q.reserveBody()
+	if !ok {
+		refusal := q.gateway.memoryRefusal()
+		q.gateway.observer.CallerRefused(CauseMemory)
+		return &refusal
+	}
+	conn := callerConnOf(q.incoming)
+	if conn != nil && q.incoming.ContentLength != 0 {
+		conn.beginBody(q.deadline)
+		defer conn.setActivity(handling)
+	}
 	var body bytes.Buffer
 	source := http.MaxBytesReader(nil, q.incoming.Body, limit)
-	_, err := io.CopyN(&body, source, q.reserveBody())
+	_, err := io.CopyN(&body, source, keep)
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
@@ -227,36 +244,50 @@
 		// Closes the connection after the response: the part of the body that a server
 		// did not read must not be taken for the next request.
 		q.bodyRest, q.contentLength, q.incoming.Close = source, q.incoming.ContentLength, true
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.incoming.Close = true
+		return &response{status: http.StatusRequestTimeout, outcome: OutcomeRefused, reason: string(CauseBodyTimeout)}
 	case !errors.Is(err, io.EOF):
 		return &response{status: http.StatusBadRequest, outcome: OutcomeRejected, reason: "bodyBroken"}
 	}
 	q.body = body.Bytes()
+	q.releaseSurplus(int64(body.Len()))
 	return nil
 }
 
-// reserveBody reserves memory for the body and returns how much of it may be kept.
-func (q *request) reserveBody() int64 {
+// reserveBody reserves memory for the body and returns how much of it may be kept, and
+// ok=false when there is none.
+func (q *request) reserveBody() (keep int64, ok bool) {
+	conn := callerConnOf(q.incoming)
 	size := int64(maxBufferedBody)
 	if length := q.incoming.ContentLength; length >= 0 && length < size {
 		size = length
 	}
-	if size <= minBufferedBody {
-		return maxBufferedBody
+	if conn == nil || size == 0 {
+		return maxBufferedBody, true
 	}
-	if q.gateway.bufferedBodies.Add(size) > maxBufferedBodies {
-		q.gateway.bufferedBodies.Add(-size)
-		return minBufferedBody
+	keep = maxBufferedBody
+	if !conn.reserve(size) {
+		keep, size = minBufferedBody, min(size, minBufferedBody)
+		if !conn.reserve(size) {
+			return 0, false
+		}
 	}
 	q.bodyReserved = size
-	return maxBufferedBody
+	return keep, true
 }
 
-// releaseBody gives the reserved memory back.
-func (q *request) releaseBody() {
-	q.gateway.bufferedBodies.Add(-q.bodyReserved)
-	q.bodyReserved = 0
+// releaseSurplus gives the reserved memory back that the body does not take.
+func (q *request) releaseSurplus(size int64) {
+	if conn := callerConnOf(q.incoming); conn != nil && size < q.bodyReserved {
+		conn.release(q.bodyReserved - size)
+		q.bodyReserved = size
+	}
 }
 
+// releaseBody gives the reserved memory back.
+func (q *request) releaseBody() { q.releaseSurplus(0) }
+
 // run places and sends the request until there is a response. The context of the
 // attempts lives until cancelAttempts is called.
 func (q *request) run() response {
--- a/waggateway/serve.go
+++ b/waggateway/serve.go
@@ -59,7 +59,10 @@
 	conns := newConnTracker()
 	server := &http.Server{
 		Handler: g, MaxHeaderBytes: maxHeaderBytes, ConnContext: connContext,
-		ConnState: func(c net.Conn, s http.ConnState) { conns.setState(g.clock.Now(), c, s) },
+		ConnState: func(c net.Conn, s http.ConnState) {
+			conns.setState(g.clock.Now(), c, s)
+			connState(c, s)
+		},
 	}
 	group, runCtx := errgroup.WithContext(ctx)
 	group.Go(func() error {
@@ -74,6 +77,7 @@
 		header, idle := g.timeouts()
 		now := g.clock.Now()
 		conns.closeUnused(now.Add(-header), now.Add(-idle))
+		g.endStalled(now)
 	}
 	if ctx.Err() != nil {
 		g.shutDown(l, conns, options)
@@ -117,6 +121,7 @@
 	for {
 		now := g.clock.Now()
 		remaining := conns.closeUnused(now.Add(-firstRequestTimeout), now.Add(-drainIdleTimeout))
+		g.endStalled(now)
 		if remaining == 0 {
 			g.log.Info("all connections of callers are closed")
 			return
--- /dev/null
+++ b/waggateway/usage.go
@@ -0,0 +1,291 @@
+package waggateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/wagtailspar/wagtailspar/wagbudget"
+)
+
+const (
+	// headByteCost and headLineCost are the memory in bytes that a byte and a line of a
+	// head take: copies, strings, the entry of the header map and the header that is sent
+	// to the server.
+	headByteCost = 4
+	headLineCost = 512
+	// unreadByteCost is the memory in bytes of a byte that is read ahead: one copy for
+	// net/http and one for the search for requests.
+	unreadByteCost = 2
+	// readBufferBytes is the size of the read buffer of net/http, which may be filled with
+	// bytes beyond the end of a head.
+	readBufferBytes = 4 << 10
+	// writeChunkBytes is the size of one write, so that progress of a long one is seen.
+	writeChunkBytes = 16 << 10
+	// refusalTimeout bounds the time for which a connection is kept after a refusal, and
+	// refusalReadBytes the bytes that are read meanwhile. A connection that is closed with
+	// unread bytes is reset, and the caller might not see the response.
+	refusalTimeout   = 500 * time.Millisecond
+	refusalReadBytes = 256 << 10
+)
+
+// activity is what happens on a connection between two requests and during one.
+type activity int
+
+const (
+	// receiving means that the next head is awaited or received.
+	receiving activity = iota
+	// handling means that the handler runs.
+	handling
+	// readingBody means that the handler reads the body.
+	readingBody
+	// finishing means that the response is written without waiting for a server, and the
+	// rest of the body is read.
+	finishing
+)
+
+// usage is what a connection takes up. The fields without atomic types are protected by
+// the mutex of the connection.
+type usage struct {
+	id wagbudget.ConnID
+	// evicted is set when the connection has lost its reservations.
+	evicted atomic.Bool
+	// progress counts reads and writes, and writing is set during a write.
+	progress atomic.Uint64
+	writing  atomic.Bool
+
+	activity activity
+	counter  headCounter
+	// headCost is the memory that is reserved for the heads of the current request until
+	// its response has been written.
+	headCost int64
+	// bodyUntil is the deadline of the body that is being read.
+	bodyUntil time.Time
+	// expired is why the read deadline of the connection was set to the past, or empty.
+	expired RefusalCause
+	// mark is the state at the latest change that the sweeper has seen, at markedAt.
+	mark     progressMark
+	markedAt time.Time
+}
+
+// headCounter counts the bytes of a head that were handed to net/http.
+type headCounter struct {
+	bytes int
+	// hasLine is set after the first line, and lineBytes counts the bytes of the current
+	// line without carriage returns.
+	hasLine   bool
+	lineBytes int
+}
+
+// add counts received bytes and returns the memory that they take. Bytes after the
+// empty line that ends the head are those of a body or of another request; net/http has
+// them in its buffer.
+func (h *headCounter) add(p []byte) (cost int64) {
+	h.bytes += len(p)
+	for i, b := range p {
+		switch b {
+		case '\r':
+		case '\n':
+			cost += headLineCost
+			if h.lineBytes == 0 && h.hasLine {
+				return cost + headByteCost*int64(i+1)
+			}
+			h.hasLine = h.hasLine || h.lineBytes > 0
+			h.lineBytes = 0
+		default:
+			h.lineBytes++
+		}
+	}
+	return cost + headByteCost*int64(len(p))
+}
+
+// requestCost returns the memory that a parsed request without a body takes.
+func requestCost(r *http.Request) int64 {
+	lines := 3 // the request line, the host and the empty line
+	for _, values := range r.Header {
+		lines += len(values)
+	}
+	return headByteCost*int64(headerSize(r)) + headLineCost*int64(lines)
+}
+
+// headLimit returns how many bytes net/http may read for one head.
+func (g *Gateway) headLimit() int {
+	if c := g.config.Load(); c != nil && c.Limits.HeaderBytes > 0 {
+		return c.Limits.HeaderBytes + readBufferBytes
+	}
+	return maxHeaderBytes
+}
+
+// countHead counts bytes that are handed to net/http while a head is being received. It
+// returns why the connection must be closed, or an empty cause.
+func (c *callerConn) countHead(p []byte) RefusalCause {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.activity != receiving {
+		return ""
+	}
+	if c.counter.bytes == 0 {
+		c.gateway.callers.budget.SetPhase(c.id, wagbudget.Receiving)
+	}
+	cost := c.counter.add(p)
+	if c.counter.bytes > c.gateway.headLimit() {
+		return CauseHeadTooLong
+	}
+	if !c.reserve(cost) {
+		return CauseMemory
+	}
+	c.headCost += cost
+	return ""
+}
+
+// endHead records that a head has been received completely; c.mu is held.
+func (c *callerConn) endHead() {
+	c.activity, c.counter = handling, headCounter{}
+	c.gateway.callers.budget.SetPhase(c.id, wagbudget.Busy)
+	if c.expired != "" {
+		// The head was complete before the deadline took effect. The call fails only on a
+		// closed connection.
+		c.expired = ""
+		if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
+			c.readErr = nil
+		}
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// isHeadExpired reports whether a read failed because a head was not complete in time.
+// net/http would respond with 400.
+func (c *callerConn) isHeadExpired(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired == CauseHeadTimeout && c.activity == receiving && errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// becomeIdle records that the response and the rest of the body are done with.
+func (c *callerConn) becomeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activity, c.counter = receiving, headCounter{}
+	c.release(c.headCost)
+	c.headCost = 0
+	c.gateway.callers.budget.SetPhase(c.id, wagbudget.Idle)
+}
+
+func (c *callerConn) setActivity(a activity) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activity = a
+}
+
+// beginBody records that the body of a request is read until a deadline.
+func (c *callerConn) beginBody(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activity, c.bodyUntil = readingBody, until
+}
+
+// reserve reserves memory and closes the connections that are evicted for it. It may be
+// called with c.mu held: closing another connection does not take its mutex.
+func (c *callerConn) reserve(n int64) bool {
+	if n == 0 {
+		return true
+	}
+	evicted, ok := c.gateway.callers.budget.Reserve(c.id, n)
+	c.gateway.callers.closeEvicted(evicted, CauseMemory)
+	return ok
+}
+
+// release gives reserved memory back.
+func (c *callerConn) release(n int64) {
+	if n > 0 {
+		c.gateway.callers.budget.Release(c.id, n)
+	}
+}
+
+// abort closes the connection to the caller and cancels its requests, without c.mu.
+// net/http then fails to read or write and closes the connection.
+func (c *callerConn) abort() {
+	c.cancel()
+	_ = c.Conn.Close() // an error means that it is closed already
+}
+
+// refusedError returns an error for which net/http closes the connection and writes
+// nothing.
+func (c *callerConn) refusedError() error {
+	return &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the connection is refused")}
+}
+
+// refuse writes a response to a request whose head has not been received completely, and
+// reads for a short time so that the caller sees it. scratch is overwritten.
+func (c *callerConn) refuse(cause RefusalCause, scratch []byte) {
+	if c.evicted.Load() {
+		return // the connection is closed already
+	}
+	status, retry := http.StatusRequestHeaderFieldsTooLarge, ""
+	switch cause {
+	case CauseHeadTimeout:
+		status = http.StatusRequestTimeout
+	case CauseMemory:
+		status = http.StatusServiceUnavailable
+		retry = "Retry-After: " + strconv.FormatFloat(memoryRetryDelay.Seconds(), 'f', 3, 64) + "\r\n"
+	}
+	body := fmt.Sprintf("%s: %s\n", http.StatusText(status), cause)
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), retry, len(body), body)
+	c.mu.Lock()
+	c.release(c.headCost)
+	c.headCost = 0
+	c.mu.Unlock()
+	// All of these fail only on a connection that the caller has closed.
+	_ = c.SetDeadline(time.Now().Add(refusalTimeout))
+	if _, err := io.WriteString(c.Conn, text); err != nil {
+		return
+	}
+	_ = c.CloseWrite()
+	for n := 0; n < refusalReadBytes; {
+		m, err := c.Conn.Read(scratch)
+		if err != nil {
+			return
+		}
+		n += m
+	}
+}
+
+// Write writes to the connection.
+func (c *callerConn) Write(p []byte) (n int, err error) {
+	c.writing.Store(true)
+	defer c.writing.Store(false)
+	for {
+		m, err := c.Conn.Write(p[n:min(n+writeChunkBytes, len(p))])
+		n += m
+		c.progress.Add(1)
+		if err != nil || n == len(p) {
+			return n, err
+		}
+	}
+}
+
+// reserveResponse reserves memory for the body of the response. Without it the response
+// is dropped; the request has run.
+func (x *execution) reserveResponse() {
+	conn, upstream := callerConnOf(x.incoming), x.response.upstream
+	if conn == nil || upstream == nil {
+		return
+	}
+	size := int64(len(upstream.Body))
+	if conn.reserve(size) {
+		x.responseCost = size
+		return
+	}
+	if upstream.BodyRest != nil {
+		_ = upstream.BodyRest.Close() // always nil
+	}
+	conn.gateway.observer.CallerRefused(CauseMemory)
+	x.response = response{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: string(CauseMemory)}
+}
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -80,9 +80,9 @@
 	// durations holds how long the servers' work takes, by route.
 	durations       routeDurations
 	requestCounters sync.Map // route name to *atomic.Uint64, the number of its requests
-	// bufferedBodies is the memory in bytes that is reserved for bodies of requests, at
-	// most maxBufferedBodies.
-	bufferedBodies atomic.Int64
+	// limits bound what callers holds.
+	limits  Limits
+	callers callers
 }
 
 // Option sets a property of a Gateway.
@@ -100,6 +100,7 @@
 	for _, o := range opts {
 		o(g)
 	}
+	g.callers.open(g, g.limits)
 	g.configWaitUntil = g.clock.Now().Add(wagowner.StartupWaitTimeout)
 	return g
 }
--- a/waghost/observe.go
+++ b/waghost/observe.go
@@ -51,6 +51,9 @@
 	})
 }
 
+// CallerRefused does nothing yet.
+func (o observer) CallerRefused(waggateway.RefusalCause) {}
+
 // ObserveGrant counts and logs the assignment of a server to a request.
 func (o observer) ObserveGrant(service string, waited time.Duration, g wagplacement.Grant) {
 	o.metrics.Grants.WithLabelValues(service).Inc()
