waggateway: Give the first head of a connection its timeout

Callers got 408 headTimeout for a head of which a part had arrived when the connections were checked, every 500 ms. Seen in 7 of 7 runs of TestBodiesInPiecesSmuggleNoRequests, three to six times a run.

Cause: the check compares what a connection does with what it did at the check before. A new connection has no such state, and its zero value is that of a first head, marked at the zero time. A mark without a time now counts as a change. TestFirstHeadHasItsTimeout failed before.

--- a/waggateway/stalled.go
+++ b/waggateway/stalled.go
@@ -27,14 +27,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.activity == receiving && c.counter.bytes == 0 {
-		c.mark = progressMark{}
+		c.markedAt = time.Time{}
 		return // connTracker closes unused connections
 	}
 	m := progressMark{activity: c.activity, writing: c.writing.Load(), number: c.begun}
 	if c.activity != receiving {
 		m.progress = c.progress.Load()
 	}
-	if m != c.mark {
+	if m != c.mark || c.markedAt.IsZero() {
 		c.mark, c.markedAt = m, now
 	}
 	isIdle := !c.markedAt.After(idleBefore)
--- a/waggateway/stalled_test.go
+++ b/waggateway/stalled_test.go
@@ -166,3 +166,23 @@
 	}
 	return servers
 }
+
+// Guards against a first head that is ended at the first sweep which sees a part of it,
+// because the connection has no earlier state to compare with.
+func TestFirstHeadHasItsTimeout(t *testing.T) {
+	is := is.New(t)
+	r, seen := newStallingGateway(t, time.Hour, time.Hour)
+	c := r.dial()
+	_, _ = io.WriteString(c, headBeginning)
+	r.awaitActivity(receiving)
+	conn := r.gateway.callers.all()[0]
+	now := r.clock.Now()
+	r.gateway.endStalled(now)
+	is.Equal(seen.count(CauseHeadTimeout), 0)
+	header, _ := r.gateway.timeouts()
+	r.gateway.endStalled(now.Add(header - time.Millisecond))
+	is.Equal(seen.count(CauseHeadTimeout), 0)
+	r.gateway.endStalled(now.Add(header))
+	is.Equal(seen.count(CauseHeadTimeout), 1)
+	is.True(conn.markedAt.Equal(now))
+}
--- a/waggateway/usage.go
+++ b/waggateway/usage.go
@@ -70,7 +70,8 @@
 	bodyUntil time.Time
 	// expired is why the read deadline of the connection was set to the past, or empty.
 	expired RefusalCause
-	// mark is the state at the latest change that the sweeper has seen, at markedAt.
+	// mark is the state at the latest change that the sweeper has seen, at markedAt. That
+	// is zero while nothing has to change.
 	mark     progressMark
 	markedAt time.Time
 }
