waggateway: Read ahead on a connection whose read deadline was lifted

Cause: net/http sets a read deadline in the past and lifts it again. The goroutine that reads ahead may store the error of that deadline only after it was lifted, so that a later read returns it and net/http takes the caller for gone. The goroutine now compares with the deadline in force and reads on.

--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -67,7 +67,9 @@
 	reading bool
 	unread  []byte
 	readErr error
-	closed  bool
+	// readDeadline is the deadline of reads; zero for none.
+	readDeadline time.Time
+	closed       bool
 	usage
 }
 
@@ -204,6 +206,11 @@
 	for {
 		n, err := c.Conn.Read(buffer)
 		c.mu.Lock()
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.isReadDeadlinePast() {
+			// The deadline was lifted before this goroutine ran again. The error would fail a
+			// later read, although its caller still waits.
+			err = nil
+		}
 		if !c.reserve(unreadByteCost * int64(n)) {
 			// The responses to the requests so far are still written.
 			c.stopTracking()
@@ -237,13 +244,24 @@
 // does not affect the reads that follow.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
 		c.readErr = nil
 	}
-	c.mu.Unlock()
+	return c.setReadDeadline(t)
+}
+
+// setReadDeadline sets the deadline of reads; c.mu is held.
+func (c *callerConn) setReadDeadline(t time.Time) error {
+	c.readDeadline = t
 	return c.Conn.SetReadDeadline(t)
 }
 
+// isReadDeadlinePast reports whether the deadline of reads has passed; c.mu is held.
+func (c *callerConn) isReadDeadlinePast() bool {
+	return !c.readDeadline.IsZero() && !time.Now().Before(c.readDeadline)
+}
+
 // CloseWrite closes the sending side, which net/http does before it closes a connection
 // with unread bytes.
 func (c *callerConn) CloseWrite() error {
--- a/waggateway/stalled.go
+++ b/waggateway/stalled.go
@@ -59,5 +59,5 @@
 		c.expired = cause
 		c.gateway.observer.CallerRefused(cause)
 	}
-	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only on a closed connection
+	_ = c.setReadDeadline(pastDeadline) // fails only on a closed connection
 }
--- a/waggateway/usage.go
+++ b/waggateway/usage.go
@@ -157,7 +157,7 @@
 		if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
 			c.readErr = nil
 		}
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		_ = c.setReadDeadline(time.Time{})
 	}
 }
 
