waghost, waggateway: Bound what a host holds for callers by its settings

The limits that waglimits derives now reach the gateway. A response is kept in memory only as far as the budget permits; the rest is streamed, so that an answer that is ready is delivered also when memory is short. Buffers of bodies grow to their exact size instead of by doubling beyond it. The memory limit of the Go runtime is 3/4 of memoryMb instead of 7/8, because the pages of the program count too: with 7/8, heads of short lines reached 129 MB of 128.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -212,5 +212,5 @@
 	h.Del("Expect")
 	h.Del("Content-Length")
 	q.gateway.protocol.SetServerHeaders(h, t.timeLeft, t.granted.Server.ID)
-	return &wagupstream.Request{Method: q.incoming.Method, Target: q.incoming.RequestURI, Host: q.incoming.Host, Header: h, Body: q.body, BodyRest: q.bodyRest, ContentLength: q.contentLength, ID: q.id, AtMostOnce: !q.route.Idempotent, SentBefore: t.sentBefore}
+	return &wagupstream.Request{Method: q.incoming.Method, Target: q.incoming.RequestURI, Host: q.incoming.Host, Header: h, Body: q.body, BodyRest: q.bodyRest, ContentLength: q.contentLength, ID: q.id, AtMostOnce: !q.route.Idempotent, SentBefore: t.sentBefore, MayBuffer: q.reserveResponse}
 }
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -91,9 +91,9 @@
 	// request is nil when the request was not accepted.
 	request  *request
 	response response
-	// headCost and responseCost are the memory in bytes that is reserved for the head of a
-	// request that runs ahead and for the body of the response.
-	headCost, responseCost int64
+	// headCost is the memory in bytes that is reserved for the head of a request that runs
+	// ahead.
+	headCost int64
 }
 
 // isFor reports whether the execution is that of a request.
@@ -466,7 +466,6 @@
 func (x *execution) run() {
 	if x.request != nil {
 		x.response = x.request.run()
-		x.reserveResponse()
 	}
 }
 
@@ -483,9 +482,7 @@
 	if x.request != nil {
 		x.request.cancelAttempts()
 		x.request.releaseBody()
-	}
-	if conn := callerConnOf(x.incoming); conn != nil {
-		conn.release(x.responseCost)
+		x.request.releaseResponse()
 	}
 	x.cancel()
 }
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -1,12 +1,12 @@
 package waggateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -59,6 +59,11 @@
 	contentLength int64
 	// bodyReserved is the memory in bytes that is reserved for the body.
 	bodyReserved int64
+	// responseReserved is the memory in bytes that is reserved for the responses of all
+	// attempts. Attempts may add to it at the same time.
+	responseReserved atomic.Int64
+	// responseDone is set when the response has been written.
+	responseDone atomic.Bool
 	// mayHaveRun reports whether a server may have run the request in an earlier
 	// attempt.
 	mayHaveRun bool
@@ -233,25 +238,24 @@
 		conn.beginBody(q.deadline)
 		defer conn.setActivity(handling)
 	}
-	var body bytes.Buffer
 	source := http.MaxBytesReader(nil, q.incoming.Body, limit)
-	_, err := io.CopyN(&body, source, keep)
+	body, complete, err := wagupstream.ReadUpTo(source, q.incoming.ContentLength, keep, nil)
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
 		return &response{status: http.StatusRequestEntityTooLarge, outcome: OutcomeRejected, reason: "bodyTooLong"}
-	case err == nil:
+	case err == nil && !complete:
 		// Closes the connection after the response: the part of the body that a server
 		// did not read must not be taken for the next request.
 		q.bodyRest, q.contentLength, q.incoming.Close = source, q.incoming.ContentLength, true
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.incoming.Close = true
 		return &response{status: http.StatusRequestTimeout, outcome: OutcomeRefused, reason: string(CauseBodyTimeout)}
-	case !errors.Is(err, io.EOF):
+	case err != nil:
 		return &response{status: http.StatusBadRequest, outcome: OutcomeRejected, reason: "bodyBroken"}
 	}
-	q.body = body.Bytes()
-	q.releaseSurplus(int64(body.Len()))
+	q.body = body
+	q.releaseSurplus(int64(cap(body)))
 	return nil
 }
 
--- a/waggateway/usage.go
+++ b/waggateway/usage.go
@@ -272,21 +272,29 @@
 	}
 }
 
-// reserveResponse reserves memory for the body of the response. Without it the response
-// is dropped; the request has run.
-func (x *execution) reserveResponse() {
-	conn, upstream := callerConnOf(x.incoming), x.response.upstream
-	if conn == nil || upstream == nil {
-		return
+// reserveResponse reserves memory for a part of the body of a response. Without it the
+// rest of the body is streamed, so that a response is delivered also when memory is short.
+func (q *request) reserveResponse(size int64) bool {
+	conn := callerConnOf(q.incoming)
+	if conn == nil {
+		return true
 	}
-	size := int64(len(upstream.Body))
-	if conn.reserve(size) {
-		x.responseCost = size
-		return
+	if q.responseDone.Load() || !conn.reserve(size) {
+		return false
 	}
-	if upstream.BodyRest != nil {
-		_ = upstream.BodyRest.Close() // always nil
+	q.responseReserved.Add(size)
+	if q.responseDone.Load() {
+		q.releaseResponse()
+		return false
+	}
+	return true
+}
+
+// releaseResponse gives the memory for the bodies of responses back. Attempts that still
+// end in the background get none afterwards.
+func (q *request) releaseResponse() {
+	q.responseDone.Store(true)
+	if conn := callerConnOf(q.incoming); conn != nil {
+		conn.release(q.responseReserved.Swap(0))
 	}
-	conn.gateway.observer.CallerRefused(CauseMemory)
-	x.response = response{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: string(CauseMemory)}
 }
--- a/waghost/observe.go
+++ b/waghost/observe.go
@@ -57,9 +57,6 @@
 	})
 }
 
-// CallerRefused does nothing yet.
-func (o observer) CallerRefused(waggateway.RefusalCause) {}
-
 // ObserveGrant counts and logs the assignment of a server to a request.
 func (o observer) ObserveGrant(service string, waited time.Duration, g wagplacement.Grant) {
 	o.metrics.Grants.WithLabelValues(service).Inc()
@@ -105,6 +102,18 @@
 // countRefusal counts a caller that was refused or whose connection was closed.
 func (o observer) countRefusal(cause string) { o.metrics.CallersRefused.WithLabelValues(cause).Inc() }
 
+// CallerRefused counts a caller that was refused or closed before a request ended, and logs
+// the beginning of a shortage.
+func (o observer) CallerRefused(cause waggateway.RefusalCause) {
+	o.countRefusal(string(cause))
+	switch cause {
+	case waggateway.CauseMemory, waggateway.CauseConnections:
+		o.logShortage(string(cause))
+	default:
+		// The caller exceeds a limit by itself: the host is not short of anything.
+	}
+}
+
 // logShortage logs that this host begins to refuse callers because of a shortage.
 func (o observer) logShortage(cause string) {
 	if o.shortages.record(o.now(), cause) {
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -131,8 +131,10 @@
 		wagmesh.WithSeeds(func() []netip.AddrPort { return *s.seeds.Load() }))
 	s.seeds.Store(&settings.Seeds)
 	s.owner.SetRemotePlaceFunc(s.mesh.PlaceRemote)
-	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log.Logger()), waggateway.WithObserver(obs))
+	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log.Logger()), waggateway.WithObserver(obs),
+		waggateway.WithLimits(waggateway.Limits{MemoryBytes: limits.CallerMemoryBytes, Connections: limits.CallerConnections}))
 	s.registerMetrics()
+	s.registerBudgetMetrics(limits.CallerConnections)
 	return s
 }
 
@@ -293,6 +295,16 @@
 	})
 }
 
+// registerBudgetMetrics registers the metrics of what is held for callers, which may have
+// the given number of connections.
+func (s *SiteHost) registerBudgetMetrics(connectionLimit int) {
+	s.metrics.RegisterGauge("site_caller_memory_bytes", "Memory that is held for callers.", func() float64 { return float64(s.gateway.BudgetStats().UsedBytes) })
+	s.metrics.RegisterGauge("site_caller_memory_limit_bytes", "Memory that may be held for callers.", func() float64 { return float64(s.gateway.BudgetStats().LimitBytes) })
+	s.metrics.RegisterGauge("site_caller_connections", "Open connections of callers.", func() float64 { return float64(s.gateway.BudgetStats().Connections) })
+	s.metrics.RegisterGauge("site_caller_connections_limit", "Permitted connections of callers; 0 means any number.", func() float64 { return float64(connectionLimit) })
+	s.metrics.RegisterCounter("site_evicted_callers_total", "Connections of callers that were closed to make room for others.", func() float64 { return float64(s.gateway.BudgetStats().Evicted) })
+}
+
 // setOwnerServers passes the registered servers to the owner. s.mu must be held.
 func (s *SiteHost) setOwnerServers() {
 	list := slices.Collect(maps.Values(s.servers))
--- a/waglimits/waglimits.go
+++ b/waglimits/waglimits.go
@@ -10,8 +10,9 @@
 	// defaultCallerMemory applies without a memory limit.
 	defaultCallerMemory = 64 << 20
 	// goMemoryNumerator and goMemoryDivisor are the part of the memory at which the
-	// garbage collector works harder. The rest is for what the Go runtime does not count.
-	goMemoryNumerator, goMemoryDivisor = 7, 8
+	// garbage collector works harder. The rest is for what the Go runtime does not count:
+	// the pages of the program, which take 20 to 30 MB, and garbage between collections.
+	goMemoryNumerator, goMemoryDivisor = 3, 4
 	// fileDescriptors are kept for files: the settings, the log and those of the runtime.
 	fileDescriptors = 200
 	// minDescriptors is what connections share at least, so that a host whose settings
--- a/wagupstream/conn.go
+++ b/wagupstream/conn.go
@@ -195,7 +195,7 @@
 
 // read reads a response. keep reports whether the connection can carry another request
 // after the whole body has been read.
-func (c *conn) read(method string) (resp *Response, keep bool, err error) {
+func (c *conn) read(method string, mayBuffer func(int64) bool) (resp *Response, keep bool, err error) {
 	request := &http.Request{Method: method}
 	c.readingHead, c.headBytesLeft, c.headLinesLeft = true, maxHeadBytes, maxHeadLines
 	defer func() { c.readingHead = false }()
@@ -206,7 +206,7 @@
 		}
 		if httpResp.StatusCode >= http.StatusOK {
 			c.readingHead = false
-			return readBody(httpResp)
+			return readBody(httpResp, mayBuffer)
 		}
 		if httpResp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, false, invalidResponse(errors.New("the server switched protocols"))
@@ -214,19 +214,18 @@
 	}
 }
 
-func readBody(httpResp *http.Response) (resp *Response, keep bool, err error) {
+// readBody reads a body up to maxBufferedBody, or as far as mayBuffer permits.
+func readBody(httpResp *http.Response, mayBuffer func(int64) bool) (resp *Response, keep bool, err error) {
 	resp = &Response{Status: httpResp.StatusCode, Header: httpResp.Header, ContentLength: httpResp.ContentLength}
-	size := min(max(httpResp.ContentLength, 0), maxBufferedBody)
-	body := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	if _, err := io.CopyN(body, httpResp.Body, maxBufferedBody); err != nil && !errors.Is(err, io.EOF) {
+	// A body that is shorter than the Content-Length is an error of the reader.
+	body, complete, err := ReadUpTo(httpResp.Body, httpResp.ContentLength, maxBufferedBody, mayBuffer)
+	if err != nil {
 		return nil, false, invalidResponse(err)
 	}
-	resp.Body = body.Bytes()
-	if len(resp.Body) < maxBufferedBody {
-		// The body is complete: a body shorter than the Content-Length is an error.
-		return resp, !httpResp.Close, nil
+	resp.Body = body
+	if !complete {
+		resp.BodyRest = httpResp.Body
 	}
-	resp.BodyRest = httpResp.Body
 	return resp, !httpResp.Close, nil
 }
 
--- a/wagupstream/exchange.go
+++ b/wagupstream/exchange.go
@@ -91,7 +91,7 @@
 		})
 	}
 	for range maxMismatched + 1 {
-		resp, keep, err := c.read(r.Method)
+		resp, keep, err := c.read(r.Method, r.MayBuffer)
 		if err != nil {
 			return nil, err
 		}
--- a/wagupstream/wagupstream.go
+++ b/wagupstream/wagupstream.go
@@ -52,6 +52,10 @@
 	// AtMostOnce says that the request must not be sent again. It then uses a new
 	// connection when a reused one might have been dropped by the server.
 	AtMostOnce bool
+	// MayBuffer asks whether that many further bytes of the response may be kept in memory.
+	// Without permission the rest of the response becomes Response.BodyRest. nil permits
+	// maxBufferedBody.
+	MayBuffer func(bytes int64) bool
 	// SentBefore says that the request was sent to this server before. It then uses a new
 	// connection: on the former one a second copy of the earlier response, which has the
 	// same ID, might still arrive.
