--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -122,6 +122,21 @@
 	RetryWindow            time.Duration
 	// ProbesPerSecond limits the probes of each server.
 	ProbesPerSecond float64
+	// While a server is cold, at most ColdOverage times its cold rate plus ColdSlack
+	// requests may reach it within a second, from all hosts together.
+	ColdOverage, ColdSlack float64
+	Quota                  QuotaLimits
+}
+
+// QuotaLimits bounds by how much customers may exceed their limits. The zero value turns
+// quotas off.
+type QuotaLimits struct {
+	// Within any Window, a customer may exceed its limit by the share Overage plus Slack
+	// requests.
+	Window         time.Duration
+	Overage, Slack float64
+	// DataCentres is the number of data centres of the site.
+	DataCentres int
 }
 
 // WithLimits sets the limits. The defaults are those of package wagplacement.
--- a/wagplacement/wagplacement.go
+++ b/wagplacement/wagplacement.go
@@ -22,6 +22,8 @@
 	Route string
 	// Rank is the urgency of the request; 0 is the most urgent.
 	Rank int
+	// Customer is the name of the customer whose key the request has, or empty.
+	Customer string
 	// A response has its full value until Goal and none after Deadline. Goal is not
 	// after Deadline.
 	Goal, Deadline time.Time
@@ -119,6 +121,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonBudget means that the retry budget is exhausted.
 	ReasonBudget Reason = "budget"
+	// ReasonQuota means that the customer has used up its quota.
+	ReasonQuota Reason = "quota"
 )
 
 // Report is the load that a server reports.
@@ -191,6 +195,9 @@
 	// BusyUntil is until when the server wants no requests from the host that made the
 	// attempt or the probe; zero when it stated no time.
 	BusyUntil time.Time
+	// ColdUntil is until when the server stays cold, as it stated on a probe; zero when it
+	// stated nothing, and not after the time of the probe when it is warm.
+	ColdUntil time.Time
 }
 
 // isAnswer reports whether a server has answered.
--- a/wagsite/wagsite.go
+++ b/wagsite/wagsite.go
@@ -26,6 +26,10 @@
 	// routes maps host names in lower case to their routes. The longest prefix comes
 	// first.
 	routes map[string][]*Route
+	// customers holds the customers, ordered by name, and customerByKey those that hold a
+	// key.
+	customers     []*Customer
+	customerByKey map[KeyDigest]*Customer
 }
 
 // Limits bounds the requests and connections of callers.
@@ -46,6 +50,9 @@
 	HealthPath string
 	// Connections bounds the connections of all hosts together to one server.
 	Connections int
+	// ColdRate is the number of requests a second that a server tolerates while it is
+	// cold; 0 means any number.
+	ColdRate float64
 }
 
 // Route configures the requests with one host name and path prefix.
@@ -65,6 +72,8 @@
 	Attempts int
 	// Rank orders routes by priority. 0 is the most urgent.
 	Rank int
+	// Public marks a route whose requests need no key of a customer.
+	Public bool
 	// TrafficSplit lists the services that share the requests. It is never empty, and
 	// the sum of its weights is above 0, unless the route is unusable.
 	TrafficSplit []WeightedService
@@ -87,9 +96,9 @@
 
 // New returns a configuration after checking its routes. Host names are compared
 // without regard to case.
-func New(version Version, limits Limits, services []Service, routes []Route) (c *Config, err error) {
+func New(version Version, limits Limits, services []Service, routes []Route, opts ...ConfigOption) (c *Config, err error) {
 	defer func() { err = errors.WithMessagef(err, "configuration version %d", version) }()
-	c = newConfig(version, limits, services)
+	c = newConfig(version, limits, services, opts)
 	for _, r := range routes {
 		if err := c.addRoute(r); err != nil {
 			return nil, err
@@ -102,8 +111,8 @@
 // NewPartial returns a configuration like New, but an invalid route does not affect the
 // others: it becomes unusable, or is left out when it has no valid host name or prefix,
 // or when another route has the same. Warnings names each such route.
-func NewPartial(version Version, limits Limits, services []Service, routes []Route) *Config {
-	c := newConfig(version, limits, services)
+func NewPartial(version Version, limits Limits, services []Service, routes []Route, opts ...ConfigOption) *Config {
+	c := newConfig(version, limits, services, opts)
 	for _, r := range routes {
 		err := c.addRoute(r)
 		if err == nil {
@@ -116,11 +125,14 @@
 	return c
 }
 
-func newConfig(version Version, limits Limits, services []Service) *Config {
-	c := &Config{Version: version, Limits: limits, services: make(map[string]Service), routes: make(map[string][]*Route)}
+func newConfig(version Version, limits Limits, services []Service, opts []ConfigOption) *Config {
+	c := &Config{Version: version, Limits: limits, services: make(map[string]Service), routes: make(map[string][]*Route), customerByKey: make(map[KeyDigest]*Customer)}
 	for _, s := range services {
 		c.services[s.Name] = s
 	}
+	for _, o := range opts {
+		o(c)
+	}
 	return c
 }
 
