waggateway: Return an answer while a second server is awaited

Cause, from the logs of the requests: each had its answer after some ms, but its hedge waited for a server in the queue of the owner for 7.9 s, and the first attempt was not reported as ended before that. Its slot counted as stuck, so that no server had a free slot, and all hedges waited for each other. Ruled out: the search for pipelined requests, which had nothing to do with these requests.

The second server is now asked for in the background; the first attempt that ends is passed on, and a server that is granted later is given back.

--- a/waggateway/fixture_test.go
+++ b/waggateway/fixture_test.go
@@ -200,6 +200,10 @@
 	refusal wagowner.Refused
 	// hedgeAfter is part of each grant.
 	hedgeAfter time.Duration
+	// hedgeWaits receives an element when a hedge begins to wait, which it does until its
+	// context ends; nil if hedges do not wait. hedgeEnds receives why the context ended.
+	hedgeWaits chan struct{}
+	hedgeEnds  chan error
 }
 
 // placedFor returns how many servers were wanted for a request.
@@ -214,7 +218,12 @@
 	return count
 }
 
-func (p *fakePlacer) Place(_ context.Context, _ string, r wagplacement.Request) wagowner.Outcome {
+func (p *fakePlacer) Place(ctx context.Context, _ string, r wagplacement.Request) wagowner.Outcome {
+	if r.Hedge && p.hedgeWaits != nil {
+		p.hedgeWaits <- struct{}{}
+		<-ctx.Done()
+		p.hedgeEnds <- ctx.Err()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.requests = append(p.requests, r)
--- a/waggateway/hedge.go
+++ b/waggateway/hedge.go
@@ -38,11 +38,10 @@
 	case <-fired:
 	}
 	q.avoidServers = append(q.avoidServers, granted.Server.ID)
-	secondGrant, ok := q.place(ctx, true).(wagowner.Granted)
-	if !ok {
-		t := <-h.ended
-		q.finish(t)
-		return t
+	secondGrant, ended := h.placeSecond(ctx)
+	if ended != nil {
+		q.finish(ended)
+		return ended
 	}
 	second := q.newAttempt(secondGrant)
 	cancelSecond := h.startAttempt(ctx, second)
@@ -60,6 +59,37 @@
 	return t
 }
 
+// placeSecond asks for a second server until the first attempt ends, which it returns then.
+// An answer that is there must not wait for a server: the slot that its attempt still holds
+// may be the one that the second attempts of many requests wait for.
+func (h *hedge) placeSecond(ctx context.Context) (second wagowner.Granted, ended *attempt) {
+	q := h.request
+	ctx, cancel := context.WithCancel(ctx)
+	placed := make(chan wagowner.Outcome, 1)
+	r := q.placementRequest(true)
+	h.group.Go(func() error {
+		placed <- q.gateway.placer.Place(ctx, q.service, r)
+		return nil
+	})
+	select {
+	case outcome := <-placed:
+		cancel()
+		if granted, ok := outcome.(wagowner.Granted); ok {
+			return granted, nil
+		}
+		return wagowner.Granted{}, <-h.ended
+	case ended = <-h.ended:
+	}
+	cancel()
+	h.group.Go(func() error {
+		if granted, ok := (<-placed).(wagowner.Granted); ok {
+			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+		}
+		return nil
+	})
+	return wagowner.Granted{}, ended
+}
+
 // mayHedge reports whether the request may be sent to a second server while the first
 // one works on it.
 func (q *request) mayHedge(granted wagowner.Granted) bool {
--- a/waggateway/hedge_test.go
+++ b/waggateway/hedge_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 )
@@ -48,6 +51,31 @@
 	t.Fatalf("no request reached the first server in %d tries", tries)
 }
 
+// Guards against an answer that is withheld, and a slot that stays taken, while a second
+// server is awaited: hedges that wait for each other's slots held answers for 8 s. A second
+// server that is granted too late is given back.
+func TestAnswerDoesNotWaitForSecondServer(t *testing.T) {
+	is := is.New(t)
+	a := newTestServer(t, "a", responseOK)
+	a.hold = make(chan struct{})
+	f := newFixture(t, a, newTestServer(t, "b", responseOK))
+	f.placer.hedgeAfter = time.Millisecond
+	f.placer.hedgeWaits, f.placer.hedgeEnds = make(chan struct{}), make(chan error, 1)
+	var g errgroup.Group
+	g.Go(func() error {
+		<-f.placer.hedgeWaits
+		close(a.hold)
+		return nil
+	})
+	resp, _ := f.send(t, http.MethodGet, "/status/1", nil)
+	is.Equal(resp.StatusCode, 200)
+	is.NoErr(g.Wait())
+	is.Equal(<-f.placer.hedgeEnds, context.Canceled) // not the deadline of the request
+	awaitTrue(t, "the second server is not given back", func() bool { return len(f.placer.reportedResults()) == 2 })
+	faults := []wagplacement.Fault{f.placer.reportedResults()[0].Fault, f.placer.reportedResults()[1].Fault}
+	is.True(slices.Contains(faults, wagplacement.FaultNone) && slices.Contains(faults, wagplacement.FaultCanceled))
+}
+
 // Guards against requests that are hedged although they are not idempotent, although
 // their route allows one attempt only, or although their body cannot be sent again.
 func TestNotHedged(t *testing.T) {
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -298,7 +298,7 @@
 	ctx, cancel := context.WithDeadline(q.incoming.Context(), q.deadline)
 	q.cancels = append(q.cancels, cancel)
 	for {
-		outcome := q.place(ctx, false)
+		outcome := q.place(ctx)
 		granted, ok := outcome.(wagowner.Granted)
 		if !ok {
 			return q.refusalResponse(outcome)
@@ -321,22 +321,25 @@
 	return response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: "shuttingDown", retryAt: q.gateway.clock.Now()}
 }
 
-// place requests a server from the placer. hedge says that another server works on the
-// request already.
-func (q *request) place(ctx context.Context, hedge bool) wagowner.Outcome {
+// place requests a server from the placer.
+func (q *request) place(ctx context.Context) wagowner.Outcome {
 	start := q.gateway.clock.Now()
+	outcome := q.gateway.placer.Place(ctx, q.service, q.placementRequest(false))
+	q.waitTime += q.gateway.clock.Now().Sub(start)
+	return outcome
+}
+
+// placementRequest returns what the placer needs to know. hedge says that another server
+// works on the request already.
+func (q *request) placementRequest(hedge bool) wagplacement.Request {
 	goal := q.arrived.Add(q.route.Goal)
 	if goal.After(q.deadline) {
 		goal = q.deadline
 	}
-	outcome := q.gateway.placer.Place(ctx, q.service, wagplacement.Request{
+	return wagplacement.Request{
 		Route: q.route.Name, Rank: q.route.Rank, Goal: goal, Deadline: q.deadline,
 		Name: q.id, Avoid: append(q.gateway.upstream.RestrictedServers(q.service), q.avoidServers...), Repeat: q.attempts > 0, Hedge: hedge,
-	})
-	if !hedge {
-		q.waitTime += q.gateway.clock.Now().Sub(start)
 	}
-	return outcome
 }
 
 // refusalResponse returns the response to a request that is not sent to any further
