waggateway, platform: Ask requests for the key of a customer

Every caller that reaches a host is served, whoever it is: configurations with customers had types, but nothing read them.

A host answers 401 to requests without a known key on routes that are not public, compares the key again with the configuration in force before each attempt, and passes the customer on: its name to the server in place of the key, its rank and name to the owner. A refusal for the quota is answered with 429. A pipelined request that ran ahead has to carry the same key as the one whose turn it is. A list of customers of which none can be read leaves only public routes open.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -33,6 +33,8 @@
 	start  time.Time
 	// timeLeft is the time between start and the deadline of the request.
 	timeLeft time.Duration
+	// access is what the configuration says about the customer at the start.
+	access access
 	// sentBefore reports whether an earlier attempt was granted the same server.
 	sentBefore bool
 	// The fields below are set when the attempt ends. resp is nil without a complete
@@ -53,7 +55,7 @@
 	q.lastServer = granted.Server.ID
 	start := q.gateway.clock.Now()
 	return &attempt{
-		granted: granted, number: q.attempts, start: start, timeLeft: q.deadline.Sub(start),
+		granted: granted, number: q.attempts, start: start, timeLeft: q.deadline.Sub(start), access: q.access,
 		sentBefore: slices.Contains(q.avoidServers, granted.Server.ID),
 	}
 }
@@ -211,6 +213,9 @@
 	copyEndToEnd(h, q.incoming.Header)
 	h.Del("Expect")
 	h.Del("Content-Length")
+	if t.access.hasCustomers {
+		q.gateway.protocol.SetCustomer(h, t.access.customerName())
+	}
 	q.gateway.protocol.SetServerHeaders(h, t.timeLeft, t.granted.Server.ID)
 	return &wagupstream.Request{Method: q.incoming.Method, Target: q.incoming.RequestURI, Host: q.incoming.Host, Header: h, Body: q.body, BodyRest: q.bodyRest, ContentLength: q.contentLength, ID: q.id, AtMostOnce: !q.route.Idempotent, SentBefore: t.sentBefore, MayBuffer: q.reserveResponse}
 }
--- a/waggateway/observe.go
+++ b/waggateway/observe.go
@@ -19,7 +19,7 @@
 	// OutcomeFailed means that the request may have run, but no response arrived.
 	OutcomeFailed Outcome = "failed"
 	// OutcomeRejected means that no route matches the request, or that it is malformed
-	// or too large.
+	// or too large, or has no valid key of a customer.
 	OutcomeRejected Outcome = "rejected"
 	// OutcomeCanceled means that the caller left before the response.
 	OutcomeCanceled Outcome = "left"
@@ -31,9 +31,11 @@
 	CallerAddress string
 	// Route and Service are empty when the request was rejected before it was placed.
 	Route, Service string
-	ConfigVersion  wagsite.Version
-	Outcome        Outcome
-	Status         int
+	// Customer is the name of the customer whose key the request has, or empty.
+	Customer      string
+	ConfigVersion wagsite.Version
+	Outcome       Outcome
+	Status        int
 	// Reason is one of a fixed set of words, because it is a label of metrics.
 	Reason string
 	// ServerID is the ID of the last server that the request was sent to.
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -96,9 +96,10 @@
 	headCost int64
 }
 
-// isFor reports whether the execution is that of a request.
+// isFor reports whether the execution is that of a request. Beside the request itself, the
+// key has to be the same, so that no caller receives a response for another customer.
 func (x *execution) isFor(p Protocol, r *http.Request) bool {
-	return x.incoming.Method == r.Method && x.incoming.RequestURI == r.RequestURI && x.incoming.Host == r.Host && p.RequestID(x.incoming.Header) == p.RequestID(r.Header)
+	return hasSameKey(p, x.incoming.Header, r.Header) && x.incoming.Method == r.Method && x.incoming.RequestURI == r.RequestURI && x.incoming.Host == r.Host && p.RequestID(x.incoming.Header) == p.RequestID(r.Header)
 }
 
 // callerListener accepts the connections of callers.
@@ -427,7 +428,12 @@
 	if config == nil || g.shuttingDown.Load() {
 		return nil
 	}
-	if route := config.Match(r.Host, routePath(r)); route == nil || !route.Idempotent {
+	route := config.Match(r.Host, routePath(r))
+	if route == nil || !route.Idempotent {
+		return nil
+	}
+	if accessOf(config, route, g.keyOf(r.Header)).isDenied() {
+		// The key may be known when it is the turn of the request.
 		return nil
 	}
 	x := g.newExecution(r.WithContext(c.ctx))
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -52,6 +52,10 @@
 	// deadline is the earlier one of the caller's deadline and the timeout of the
 	// route. The request ends then, with or without the response of a server.
 	deadline time.Time
+	// key is the digest of the key that the request carries; nil without one. access is
+	// what the configuration that was in force last says about it.
+	key    *wagsite.KeyDigest
+	access access
 	// body is the whole body, or its beginning when bodyRest is set. contentLength is
 	// the length of both; -1 when unknown.
 	body          []byte
@@ -135,6 +139,7 @@
 	}
 	if q != nil {
 		result.Route, result.Service, result.ConfigVersion, result.ServerID, result.Attempts, result.WaitTime = q.route.Name, q.service, q.configVersion, q.lastServer, q.attempts, q.waitTime
+		result.Customer = q.access.customerName()
 		result.WithinGoal = resp.outcome == OutcomeAnswered && result.Duration <= q.route.Goal
 	}
 	// net/http cancels the context of a request whose body was not received in time.
@@ -181,12 +186,18 @@
 	if route == nil {
 		return nil, response{status: http.StatusNotFound, outcome: OutcomeRejected, reason: "noRoute"}
 	}
+	key := g.keyOf(r.Header)
+	access := accessOf(config, route, key)
+	if access.isDenied() {
+		return nil, unknownKeyResponse()
+	}
 	if route.Unusable != "" {
 		return nil, response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: "unusableRoute", retryAt: now.Add(unusableRetryDelay)}
 	}
 	q := &request{
 		gateway: g, incoming: r, route: route, service: route.SelectService(g.nextNumber(route.Name)),
 		id: g.protocol.RequestID(r.Header), configVersion: config.Version, arrived: now, deadline: now.Add(route.Timeout),
+		key: key, access: access,
 	}
 	if callerTimeout, ok := g.protocol.CallerTimeout(r.Header); ok {
 		if until := now.Add(callerTimeout - timeoutMargin); until.Before(q.deadline) {
@@ -298,8 +309,17 @@
 	ctx, cancel := context.WithDeadline(q.incoming.Context(), q.deadline)
 	q.cancels = append(q.cancels, cancel)
 	for {
+		if !q.updateAccess() {
+			return q.deniedResponse()
+		}
 		outcome := q.place(ctx, false)
 		granted, ok := outcome.(wagowner.Granted)
+		if !q.updateAccess() {
+			if ok {
+				granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+			}
+			return q.deniedResponse()
+		}
 		if !ok {
 			return q.refusalResponse(outcome)
 		}
@@ -330,7 +350,7 @@
 		goal = q.deadline
 	}
 	outcome := q.gateway.placer.Place(ctx, q.service, wagplacement.Request{
-		Route: q.route.Name, Rank: q.route.Rank, Goal: goal, Deadline: q.deadline,
+		Route: q.route.Name, Rank: q.rank(), Customer: q.access.customerName(), Goal: goal, Deadline: q.deadline,
 		Name: q.id, Avoid: append(q.gateway.upstream.RestrictedServers(q.service), q.avoidServers...), Repeat: q.attempts > 0, Hedge: hedge,
 	})
 	if !hedge {
@@ -351,6 +371,8 @@
 		return *q.fallback
 	case q.mayHaveRun:
 		return response{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: string(refused.Reason)}
+	case refused.Reason == wagplacement.ReasonQuota:
+		return q.quotaResponse(refused)
 	default:
 		return response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: string(refused.Reason), retryAt: refused.RetryAt}
 	}
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -53,6 +53,12 @@
 	RemoveSignature(h http.Header)
 	// SetRequestID sets the ID of the request on a response.
 	SetRequestID(h http.Header, id string)
+	// APIKey returns the key of a customer that a request carries; false when it carries
+	// none, or not exactly one.
+	APIKey(h http.Header) (key string, ok bool)
+	// SetCustomer sets the name of the customer on a request to a server, and removes the
+	// key and any other such name. With an empty name it only removes both.
+	SetCustomer(h http.Header, name string)
 }
 
 // Placer places requests on servers.
--- a/waghost/observe.go
+++ b/waghost/observe.go
@@ -35,11 +35,15 @@
 		o.metrics.RequestDuration.WithLabelValues(e.Route).Observe(e.Duration.Seconds())
 		o.metrics.WaitDuration.WithLabelValues(e.Service).Observe(e.WaitTime.Seconds())
 	}
-	o.log.Info(waglog.KindRequest, waglog.Fields{
+	fields := waglog.Fields{
 		"request": e.RequestID, "caller": e.CallerAddress, "route": e.Route, "service": e.Service, "version": uint64(e.ConfigVersion),
 		"outcome": e.Outcome, "status": e.Status, "reason": e.Reason, "server": e.ServerID, "attempts": e.Attempts,
 		"waitedMs": ms(e.WaitTime), "tookMs": ms(e.Duration), "inGoal": e.WithinGoal,
-	})
+	}
+	if e.Customer != "" {
+		fields["customer"] = e.Customer
+	}
+	o.log.Info(waglog.KindRequest, fields)
 }
 
 // AttemptEnded counts an attempt that has ended, and logs it if it had a fault.
--- a/wagsite/customer.go
+++ b/wagsite/customer.go
@@ -33,30 +33,55 @@
 // ConfigOption sets a part of a configuration that only some sites have.
 type ConfigOption func(*Config)
 
-// WithCustomers sets the customers. Requests then need a key, unless their route is public.
-// A key that two customers hold belongs to the first one, and Warnings names both.
+// WithCustomers sets the customers. Requests then need a key, unless their route is public,
+// also when the list is empty: no request has a valid key then. A key that two customers
+// hold belongs to the first one, and Warnings names both. The keys of customers with the
+// same name belong to the first of them, whose other fields hold.
 func WithCustomers(customers []Customer) ConfigOption {
 	return func(c *Config) {
+		c.needsKeys = true
+		keys := 0
 		for i := range customers {
-			c.addCustomer(customers[i])
+			keys += len(customers[i].Keys)
+		}
+		c.customerByKey = make(map[KeyDigest]*Customer, keys)
+		byName := make(map[string]*Customer, len(customers))
+		for i := range customers {
+			c.addCustomer(customers[i], byName)
 		}
 		slices.SortFunc(c.customers, func(a, b *Customer) int { return cmp.Compare(a.Name, b.Name) })
 	}
 }
 
-func (c *Config) addCustomer(customer Customer) {
-	c.customers = append(c.customers, &customer)
-	for _, key := range customer.Keys {
-		if other, ok := c.customerByKey[key]; ok {
+func (c *Config) addCustomer(customer Customer, byName map[string]*Customer) {
+	holder, isKnown := byName[customer.Name]
+	if isKnown {
+		c.Warnings = append(c.Warnings, errors.Errorf("customer %q occurs twice: the first entry holds, with the keys of both", customer.Name).Error())
+	} else {
+		holder = &customer
+		byName[customer.Name] = holder
+		c.customers = append(c.customers, holder)
+	}
+	keys := customer.Keys
+	holder.Keys = slices.Clip(holder.Keys)
+	for _, key := range keys {
+		other, isHeld := c.customerByKey[key]
+		if isHeld && other != holder {
 			c.Warnings = append(c.Warnings, errors.Errorf("customers %q and %q have the same key, which belongs to the first", other.Name, customer.Name).Error())
+		}
+		if isHeld {
 			continue
 		}
-		c.customerByKey[key] = &customer
+		c.customerByKey[key] = holder
+		if isKnown {
+			holder.Keys = append(holder.Keys, key)
+		}
 	}
 }
 
-// HasCustomers reports whether requests need a key, unless their route is public.
-func (c *Config) HasCustomers() bool { return len(c.customers) > 0 }
+// HasCustomers reports whether requests need a key, unless their route is public. It holds
+// for a configuration whose customers could not be read, too.
+func (c *Config) HasCustomers() bool { return c.needsKeys }
 
 // CustomerOf returns the customer that holds a key.
 func (c *Config) CustomerOf(key KeyDigest) (*Customer, bool) {
--- a/wagsite/wagsite.go
+++ b/wagsite/wagsite.go
@@ -26,8 +26,10 @@
 	// routes maps host names in lower case to their routes. The longest prefix comes
 	// first.
 	routes map[string][]*Route
+	// needsKeys reports whether requests need a key, unless their route is public.
 	// customers holds the customers, ordered by name, and customerByKey those that hold a
 	// key.
+	needsKeys     bool
 	customers     []*Customer
 	customerByKey map[KeyDigest]*Customer
 }
@@ -126,7 +128,7 @@
 }
 
 func newConfig(version Version, limits Limits, services []Service, opts []ConfigOption) *Config {
-	c := &Config{Version: version, Limits: limits, services: make(map[string]Service), routes: make(map[string][]*Route), customerByKey: make(map[KeyDigest]*Customer)}
+	c := &Config{Version: version, Limits: limits, services: make(map[string]Service), routes: make(map[string][]*Route)}
 	for _, s := range services {
 		c.services[s.Name] = s
 	}
