--- a/commands/platform.go
+++ b/commands/platform.go
@@ -75,6 +75,11 @@
 			return err
 		}
 	}
+	for _, customer := range c.Customers() {
+		if _, err := fmt.Fprintf(w, "customer\t%s\tkeys %d\trate %g\tburst %g\n", customer.Name, len(customer.Keys), customer.Rate, customer.Burst); err != nil {
+			return err
+		}
+	}
 	for _, r := range c.Routes() {
 		kind := "at most once"
 		if r.Idempotent {
--- a/waggateway/customers.go
+++ b/waggateway/customers.go
@@ -49,6 +49,16 @@
 	return a.customer.Name
 }
 
+// CustomerCounts returns the numbers of customers and of their keys in the configuration in
+// force.
+func (g *Gateway) CustomerCounts() (customers, keys int) {
+	config := g.config.Load()
+	if config == nil {
+		return 0, 0
+	}
+	return len(config.Customers()), config.KeyCount()
+}
+
 // keyOf returns the digest of the key of a request, or nil.
 func (g *Gateway) keyOf(h http.Header) *wagsite.KeyDigest {
 	key, ok := g.protocol.APIKey(h)
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -281,6 +281,7 @@
 		}
 		return 0
 	})
+	s.registerCustomerMetrics()
 	s.metrics.RegisterCounter("site_connections_total", "Connections opened to servers.", func() float64 { return float64(s.upstream.Stats().Dialed) })
 	s.metrics.RegisterCounter("site_dropped_connections_total", "Kept connections to servers that broke when they were used again.", func() float64 { return float64(s.upstream.Stats().Dropped) })
 	s.metrics.RegisterGauge("site_server_connections", "Open connections to servers.", func() float64 { return float64(s.upstream.Stats().Open) })
--- a/wagsite/customer.go
+++ b/wagsite/customer.go
@@ -89,6 +89,9 @@
 	return customer, ok
 }
 
+// KeyCount returns the number of keys that customers hold.
+func (c *Config) KeyCount() int { return len(c.customerByKey) }
+
 // Customers returns all customers, ordered by name.
 func (c *Config) Customers() []*Customer { return c.customers }
 
