--- a/waggateway/hedge.go
+++ b/waggateway/hedge.go
@@ -74,9 +74,13 @@
 	select {
 	case outcome := <-placed:
 		cancel()
-		if granted, ok := outcome.(wagowner.Granted); ok {
+		granted, ok := outcome.(wagowner.Granted)
+		if ok && q.updateAccess() {
 			return granted, nil
 		}
+		if ok {
+			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+		}
 		return wagowner.Granted{}, <-h.ended
 	case ended = <-h.ended:
 	}
