wagplacement: Bound the requests to cold servers

A server that is cold tolerates warmupPerS requests a second and crashes above the bound of the platform. The scheduler knew only that such a server is slow: on its free slots it sent as many requests as fitted.

Each cold server has a token bucket. Grants, hedges and repeats pass it, waiting requests wake when a token is there, and waiting times count a cold server as far as its rate allows. A scheduler that has handled no request as the owner for 1 s begins with empty buckets. The bound is divided so that two simultaneous owners and the hosts that decide alone stay within it together; of those, one host may use each cold server, once a second.

The rate comes from warmupPerS of a service, the bound from warmupOverage and warmupSlack of the settings; without them nothing is bounded. Probes read X-Wagtailspar-Warmup-Ms.

--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -44,6 +44,9 @@
 	// BusyFor returns how long a server that rejected a request wants no others from
 	// this host, or 0.
 	BusyFor(status int, h http.Header) time.Duration
+	// ColdUntil returns until when a server is cold, as it states on a health response: not
+	// after now when it is warm, and the zero time when it states nothing.
+	ColdUntil(h http.Header, now time.Time) time.Time
 	// ServerID returns the ID that a server states on a response, or an empty string.
 	ServerID(h http.Header) string
 	// HasSignature reports whether a response carries the signature that a server puts
--- a/waghost/observe.go
+++ b/waghost/observe.go
@@ -60,12 +60,19 @@
 // ObserveGrant counts and logs the assignment of a server to a request.
 func (o observer) ObserveGrant(service string, waited time.Duration, g wagplacement.Grant) {
 	o.metrics.Grants.WithLabelValues(service).Inc()
+	if g.Inputs.Cold {
+		o.metrics.ColdGrants.WithLabelValues(service).Inc()
+	}
 	o.metrics.ReportAge.WithLabelValues(service).Observe(g.Inputs.ReportAge.Seconds())
-	o.log.Info(waglog.KindGrant, waglog.Fields{
+	fields := waglog.Fields{
 		"request": g.Request.Name, "service": service, "server": g.Server.ID, "running": g.Inputs.Running, "slowness": g.Inputs.Slowness,
 		"reportAgeMs": ms(g.Inputs.ReportAge), "workMs": ms(g.Inputs.ServiceTime), "waiting": g.Inputs.Waiting, "slots": g.Inputs.Slots, "waitedMs": ms(waited),
 		"late": g.Inputs.Late, "repeat": g.Request.Repeat, "hedge": g.Request.Hedge, "foreign": g.Request.Foreign,
-	})
+	}
+	if g.Inputs.Cold {
+		fields["cold"] = true
+	}
+	o.log.Info(waglog.KindGrant, fields)
 }
 
 // ObserveRefusal counts and logs a request that was assigned no server, with the reason.
--- a/waghost/probe.go
+++ b/waghost/probe.go
@@ -67,6 +67,7 @@
 	if result.Leaving || !result.BusyUntil.IsZero() {
 		p.host.upstream.Restrict(server.Service, target, wagupstream.Restriction{Leaving: result.Leaving, Until: result.BusyUntil})
 	}
+	result.ColdUntil = p.protocol.ColdUntil(resp.Header, p.host.clock.Now())
 	result.Report, result.HasReport = p.protocol.LoadReport(resp.Header)
 	if id := p.protocol.ServerID(resp.Header); id != "" && id != server.ID {
 		return wagplacement.Result{Fault: wagplacement.FaultMisdirected}
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -134,6 +134,7 @@
 	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log.Logger()), waggateway.WithObserver(obs),
 		waggateway.WithLimits(waggateway.Limits{MemoryBytes: limits.CallerMemoryBytes, Connections: limits.CallerConnections}))
 	s.registerMetrics()
+	s.registerColdMetrics()
 	s.registerBudgetMetrics(limits.CallerConnections)
 	return s
 }
@@ -233,6 +234,7 @@
 		names = append(names, service.Name)
 	}
 	s.mesh.SetServices(names)
+	s.owner.SetColdRates(coldRates(c))
 	s.metrics.ConfigVersion.Set(float64(c.Version))
 	s.log.Info(waglog.KindConfig, waglog.Fields{"event": "inForce", "version": uint64(c.Version), "copyAgeMs": ms(s.copyAge())})
 }
--- a/wagmesh/place.go
+++ b/wagmesh/place.go
@@ -70,7 +70,7 @@
 	if ctx.Err() != nil {
 		return wagowner.Refused{Reason: wagplacement.ReasonDeadline, RetryAt: m.clock.Now()}
 	}
-	r.OwnerUnreachable = !isOwner
+	r.OwnerUnreachable, r.Alone = !isOwner, m.aloneShare(isOwner)
 	return m.owner.Place(ctx, service, r)
 }
 
@@ -269,7 +269,9 @@
 	}
 	l.waitingTickets[id] = wagowner.Ticket{}
 	l.mu.Unlock()
-	t := l.mesh.owner.Submit(p.GetService(), requestFromMessage(p, now), func(x wagowner.Outcome) { l.sendOutcome(id, x) })
+	r := requestFromMessage(p, now)
+	r.Alone = l.mesh.aloneShare(true)
+	t := l.mesh.owner.Submit(p.GetService(), r, func(x wagowner.Outcome) { l.sendOutcome(id, x) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, waiting := l.waitingTickets[id]; waiting {
--- a/wagmetrics/site.go
+++ b/wagmetrics/site.go
@@ -35,8 +35,10 @@
 	// Grants, Refusals, Spills and Probes count the decisions of this host as an owner.
 	Grants   *prometheus.CounterVec
 	Refusals *prometheus.CounterVec
-	Spills   *prometheus.CounterVec
-	Probes   *prometheus.CounterVec
+	// ColdGrants counts the grants of cold servers whose rate is bounded.
+	ColdGrants *prometheus.CounterVec
+	Spills     *prometheus.CounterVec
+	Probes     *prometheus.CounterVec
 	// ReportAge is the age of the load report of a server when a request is assigned to it.
 	ReportAge *prometheus.HistogramVec
 	// StoreCalls counts the calls to the platform's store.
@@ -63,6 +65,7 @@
 		Attempts:        counter("site_attempts_total", "Requests sent to servers.", "service", "fault"),
 		Repeats:         counter("site_repeats_total", "Requests sent to a further server.", "service"),
 		Grants:          counter("site_grants_total", "Slots of servers that were granted.", "service"),
+		ColdGrants:      counter("site_cold_grants_total", "Slots of cold servers that were granted.", "service"),
 		Refusals:        counter("site_refusals_total", "Requests for which no slot was granted.", "service", "reason"),
 		Spills:          counter("site_spills_total", "Requests for which another data centre was asked.", "service", "outcome"),
 		Probes:          counter("site_probes_total", "Reports asked of servers.", "service", "fault"),
@@ -73,7 +76,7 @@
 		ConfigVersion:   prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "site_config_version", Help: "Version of the configuration in force."}),
 		ConfigWarnings:  prometheus.NewGauge(prometheus.GaugeOpts{Namespace: Namespace, Name: "site_config_warnings", Help: "Parts of the configuration in force that are not used as written."}),
 	}
-	s.registry.MustRegister(s.Requests, s.RequestDuration, s.WaitDuration, s.Attempts, s.Repeats, s.Grants, s.Refusals, s.Spills, s.Probes, s.ReportAge, s.StoreCalls, s.CallersRefused, s.InvalidObjects, s.ConfigVersion, s.ConfigWarnings)
+	s.registry.MustRegister(s.Requests, s.RequestDuration, s.WaitDuration, s.Attempts, s.Repeats, s.Grants, s.ColdGrants, s.Refusals, s.Spills, s.Probes, s.ReportAge, s.StoreCalls, s.CallersRefused, s.InvalidObjects, s.ConfigVersion, s.ConfigWarnings)
 	return s
 }
 
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -74,7 +74,9 @@
 
 	mu     sync.Mutex
 	groups map[string]*group
-	lastID wagplacement.RequestID
+	// coldRates holds the rate of cold servers by service.
+	coldRates map[string]float64
+	lastID    wagplacement.RequestID
 	// heldRequests holds the requests that arrived before the first list of servers, each
 	// until half of its time has passed, and until startupDeadline at the latest.
 	// startupDone is set when no more are held.
@@ -246,6 +248,7 @@
 	if !ok {
 		g = &group{service: service, scheduler: o.newScheduler(), waiters: make(map[wagplacement.RequestID]waiter)}
 		o.groups[service] = g
+		o.setColdRate(g)
 	}
 	return g
 }
--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -68,19 +68,25 @@
 	l.meanHoldTime += time.Duration(holdTimeWeight * float64(d-l.meanHoldTime))
 }
 
-// countSlots estimates how many requests the group can run at once, and how many of
-// these slots are free.
-func (sc *Scheduler) countSlots(now time.Time) (all, free float64) {
+// countSlots estimates how many requests like w the group can run at once, and how many
+// of these slots are free.
+func (sc *Scheduler) countSlots(now time.Time, w *waiter) capacity {
+	var all, free float64
+	var cold capacity
 	for _, s := range sc.byID {
 		if !s.isLive() || s.isExcluded(now) || s.stuckCount > 1 {
 			continue
 		}
 		limit := sc.concurrencyLimit(s)
+		if sc.isBounded(now, s) {
+			cold.addCold(now, sc, s, w, limit, max(limit-s.occupiedSlots(now), 0), sc.meanHoldTime(w))
+			continue
+		}
 		all += float64(limit)
 		free += float64(max(limit-s.occupiedSlots(now), 0))
 	}
-	sc.estimatedSlots = all * (1 - sc.load.slowShare)
-	return sc.estimatedSlots, free * (1 - sc.load.slowShare)
+	sc.estimatedSlots = all*(1-sc.load.slowShare) + cold.all
+	return capacity{all: sc.estimatedSlots, free: free*(1-sc.load.slowShare) + cold.free, nextFree: cold.nextFree, onlyCold: all == 0}
 }
 
 // noServerWait is the wait of a request while there is no server. It is longer than
@@ -89,15 +95,19 @@
 
 // estimateWait estimates how long a request waits behind a number of others.
 func (sc *Scheduler) estimateWait(now time.Time, w *waiter, ahead int) time.Duration {
-	all, free := sc.countSlots(now)
-	if all == 0 || sc.avoidsAllServers(w) {
+	slots := sc.countSlots(now, w)
+	if slots.all == 0 || sc.avoidsAllServers(w) {
 		return noServerWait
 	}
-	missingSlots := float64(ahead) + 1 - free
+	missingSlots := float64(ahead) + 1 - slots.free
 	if missingSlots <= 0 {
 		return 0
 	}
-	return time.Duration(missingSlots / all * float64(sc.meanHoldTime(w)))
+	wait := time.Duration(missingSlots / slots.all * float64(sc.meanHoldTime(w)))
+	if slots.isHeldBack() {
+		wait = max(wait, slots.nextFree.Sub(now))
+	}
+	return wait
 }
 
 // avoidsAllServers reports whether the request avoids each server that is not leaving.
@@ -150,8 +160,7 @@
 // spareRate returns the rate per second at which late requests can be served, or 0 if
 // the others need all slots.
 func (sc *Scheduler) spareRate(now time.Time, w *waiter) float64 {
-	all, _ := sc.countSlots(now)
-	capacity := all / sc.meanHoldTime(w).Seconds()
+	capacity := sc.countSlots(now, w).all / sc.meanHoldTime(w).Seconds()
 	sc.load.decay(now)
 	spare := capacity - sc.load.arrivalRate
 	if spare < minSpareShare*capacity {
--- a/wagplacement/choose.go
+++ b/wagplacement/choose.go
@@ -80,6 +80,8 @@
 func (sc *Scheduler) grantSlot(now time.Time, w *waiter, s *server) {
 	g := &grant{request: w.Request, server: s, route: w.route, grantedAt: now, slowness: s.slowness(now), kneeFactor: 1}
 	w.route.lastGrant = now
+	cold := sc.isBounded(now, s)
+	sc.takeCold(now, s, &w.Request)
 	s.running++
 	s.grantedSinceReport++
 	if g.aboveKnee = isAboveKnee(s.occupiedSlots(now), s.Slots); g.aboveKnee {
@@ -88,7 +90,7 @@
 	sc.grants[w.ID] = g
 	sc.commands = append(sc.commands, Grant{Request: w.Request, Server: s.Instance, Inputs: DecisionInputs{
 		Running: s.occupiedSlots(now), Slowness: g.slowness, ReportAge: now.Sub(s.reportedAt), Waiting: len(sc.queue.list), Slots: sc.estimatedSlots,
-		ServiceTime: w.route.serviceTime, Late: w.isLate(now),
+		ServiceTime: w.route.serviceTime, Late: w.isLate(now), Cold: cold,
 	}, HedgeAfter: sc.hedgeDelay(now, w, g)})
 }
 
@@ -111,10 +113,15 @@
 	if len(sc.queue.list) == 0 {
 		return c
 	}
+	sc.cold.recordWaiting(sc.queue.list)
 	for n, s := range sc.byID {
 		if !s.isUsable(now) || s.stuckCount > 1 || s.occupiedSlots(now) >= sc.concurrencyLimit(s) {
 			continue
 		}
+		if at := sc.coldReadyAt(now, s); at.After(now) {
+			sc.wakeAt(at)
+			continue
+		}
 		c.free = append(c.free, candidate{s, n})
 		if s.isLoadKnown(now) && !s.reportsSlow(now) {
 			c.ready = append(c.ready, candidate{s, n})
@@ -145,7 +152,7 @@
 		if occupied >= sc.concurrencyLimit(s) {
 			continue
 		}
-		if !isLate && !s.isLoadKnown(now) {
+		if !isLate && !s.isLoadKnown(now) || !sc.allowsCold(now, s, &w.Request) {
 			continue
 		}
 		slowness := s.slowness(now)
@@ -160,6 +167,9 @@
 			continue
 		}
 		cost := float64(occupied)/float64(s.Slots) + slownessWeight*(slowness-1)
+		if w.decidesAlone() && sc.isBounded(now, s) {
+			cost += coldAvoidanceCost
+		}
 		if best == nil || cost < lowestCost {
 			best, lowestCost = s, cost
 		}
@@ -201,7 +211,7 @@
 	n := len(sc.byID)
 	for i := range n {
 		s := sc.byID[(i+sc.searchOffset)%n]
-		if s.probing || !s.isUsable(now) || s.isLoadKnown(now) || s.reportsSlow(now) || s.stuckCount > 1 {
+		if s.probing || !s.isUsable(now) || s.isLoadKnown(now) || s.reportsSlow(now) || s.stuckCount > 1 || s.cold.isConfirmed && sc.coldReadyAt(now, s).After(now) {
 			continue
 		}
 		occupied := s.occupiedSlots(now)
--- a/wagplacement/hedge.go
+++ b/wagplacement/hedge.go
@@ -40,8 +40,8 @@
 // admitHedge decides on a second attempt of a request that still runs on another
 // server. It returns false if the attempt was refused.
 func (sc *Scheduler) admitHedge(now time.Time, w *waiter) bool {
-	all, free := sc.countSlots(now)
-	if free-float64(len(sc.queue.list)) >= 1+hedgeReservedShare*all {
+	slots := sc.countSlots(now, w)
+	if slots.free-float64(len(sc.queue.list)) >= 1+hedgeReservedShare*slots.all {
 		return true
 	}
 	sc.refuse(&w.Request, ReasonOverload, now.Add(minRetryDelay), 0)
--- a/wagplacement/scheduler.go
+++ b/wagplacement/scheduler.go
@@ -25,6 +25,7 @@
 	probeRate float64
 	load      loadEstimate
 	knee      knee
+	cold      coldLimit
 	remotes   []remoteDataCentre
 	// answeredAt is when a server of the group last answered a request or a probe.
 	answeredAt time.Time
@@ -101,6 +102,9 @@
 		sc.load.recordArrival(now)
 	}
 	sc.limitExclusions(now)
+	if !r.decidesAlone() {
+		sc.cold.recordOwnerRequest(now)
+	}
 	if sc.admit(now, w) {
 		sc.queue.add(w)
 	}
@@ -224,6 +228,9 @@
 			s = &server{probeLimiter: rate.NewLimiter(rate.Limit(sc.probeRate), max(int(sc.probeRate*probeBurstWindow.Seconds()), 1)), withoutReports: sc.serviceWithoutReports(), disabled: sc.disabled}
 			sc.servers[instance.ID] = s
 		}
+		if !instance.ColdUntil.Equal(s.ColdUntil) {
+			s.cold.setFromEntry(now, instance.ColdUntil)
+		}
 		s.Instance, s.listed = instance, true
 	}
 	for id, s := range sc.servers {
--- a/wagplacement/servers.go
+++ b/wagplacement/servers.go
@@ -106,6 +106,7 @@
 	// The server takes no probes from this host until probesBlockedUntil.
 	probesBlockedUntil time.Time
 	disabled           map[Mechanism]bool
+	cold               coldState
 }
 
 // sortServers rebuilds byID.
@@ -274,6 +275,7 @@
 	s.recordReport(now, r)
 	s.leaving = s.leaving || r.Leaving
 	s.probesBlockedUntil = r.BusyUntil
+	s.cold.setFromProbe(now, &r)
 	switch r.Fault {
 	case FaultNone, FaultCanceled, FaultError:
 		// Health checks are unreliable both ways, so that only responses to requests count.
--- a/wagplacement/wagplacement.go
+++ b/wagplacement/wagplacement.go
@@ -43,6 +43,9 @@
 	// Hedge marks a second attempt of a request that still runs on another server. It
 	// is granted only if that takes no slot from other requests.
 	Hedge bool
+	// Alone is which cold servers the request may use if the host that decides may not be
+	// the only one.
+	Alone AloneShare
 }
 
 // Command is an action that a Scheduler asks for: Grant, Refuse, Probe or Spill.
@@ -86,6 +89,8 @@
 	ServiceTime time.Duration
 	// Late is set when the request could no longer be answered by its goal.
 	Late bool
+	// Cold is set when the bound on cold servers applied to the server.
+	Cold bool
 }
 
 // Probe asks for a load report of a server. HandleProbeResult must follow.
--- a/wagroster/wagroster.go
+++ b/wagroster/wagroster.go
@@ -65,6 +65,8 @@
 	// owners is nil.
 	ranked []Member
 	rank   int
+	// ownShare is the place of this host in its own data centre; valid unless owners is nil.
+	ownShare OwnShare
 }
 
 // storeState records whether a host is disconnected from the store.
@@ -263,6 +265,7 @@
 	d.owners, d.candidates = make(map[string]Member), r.selectCandidates(name, d)
 	if name == r.self.DataCentre {
 		r.rankMembers(d)
+		d.ownShare = r.countOwnShare(d)
 	}
 }
 
