--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -72,21 +72,21 @@
 // of these slots are free.
 func (sc *Scheduler) countSlots(now time.Time, w *waiter) capacity {
 	var all, free float64
-	var cold capacity
+	cold := capacity{holdTime: sc.meanHoldTime(w)}
 	for _, s := range sc.byID {
 		if !s.isLive() || s.isExcluded(now) || s.stuckCount > 1 {
 			continue
 		}
 		limit := sc.concurrencyLimit(s)
 		if sc.isBounded(now, s) {
-			cold.addCold(now, sc, s, w, limit, max(limit-s.occupiedSlots(now), 0), sc.meanHoldTime(w))
+			cold.addCold(now, sc, s, w, limit, max(limit-s.occupiedSlots(now), 0))
 			continue
 		}
 		all += float64(limit)
 		free += float64(max(limit-s.occupiedSlots(now), 0))
 	}
 	sc.estimatedSlots = all*(1-sc.load.slowShare) + cold.all
-	return capacity{all: sc.estimatedSlots, free: free*(1-sc.load.slowShare) + cold.free, nextFree: cold.nextFree, onlyCold: all == 0}
+	return capacity{all: sc.estimatedSlots, free: free*(1-sc.load.slowShare) + cold.free, holdTime: cold.holdTime, nextFree: cold.nextFree, onlyCold: all == 0}
 }
 
 // noServerWait is the wait of a request while there is no server. It is longer than
@@ -103,7 +103,7 @@
 	if missingSlots <= 0 {
 		return 0
 	}
-	wait := time.Duration(missingSlots / slots.all * float64(sc.meanHoldTime(w)))
+	wait := time.Duration(missingSlots / slots.all * float64(slots.holdTime))
 	if slots.isHeldBack() {
 		wait = max(wait, slots.nextFree.Sub(now))
 	}
@@ -160,7 +160,8 @@
 // spareRate returns the rate per second at which late requests can be served, or 0 if
 // the others need all slots.
 func (sc *Scheduler) spareRate(now time.Time, w *waiter) float64 {
-	capacity := sc.countSlots(now, w).all / sc.meanHoldTime(w).Seconds()
+	slots := sc.countSlots(now, w)
+	capacity := slots.all / slots.holdTime.Seconds()
 	sc.load.decay(now)
 	spare := capacity - sc.load.arrivalRate
 	if spare < minSpareShare*capacity {
--- a/wagplacement/choose.go
+++ b/wagplacement/choose.go
@@ -118,6 +118,9 @@
 		if !s.isUsable(now) || s.stuckCount > 1 || s.occupiedSlots(now) >= sc.concurrencyLimit(s) {
 			continue
 		}
+		if sc.awaitsFirstProbe(now, s) {
+			continue
+		}
 		if at := sc.coldReadyAt(now, s); at.After(now) {
 			sc.wakeAt(at)
 			continue
--- a/wagplacement/cold.go
+++ b/wagplacement/cold.go
@@ -15,12 +15,19 @@
 	// before the buckets of its cold servers are emptied: meanwhile another host may have
 	// been the owner.
 	ownerIdleTime = time.Second
+	// firstProbeTime is how long a new server gets no late requests, which do not wait for
+	// reports, before it has answered a probe. It may have become cold while it was not
+	// listed, as in a data centre that was evacuated.
+	firstProbeTime = time.Second
 	// aloneInterval is the time between two requests to a cold server by a host that
 	// decides without the owner.
 	aloneInterval = time.Second
 	// coldAvoidanceCost makes a host that decides without the owner use cold servers only
 	// when no other server is free. It is above the cost of any other server.
 	coldAvoidanceCost = 1000
+	// minHoldTime is the least time that a request is assumed to hold a slot of a cold
+	// server, so that the slots that its rate permits are never 0.
+	minHoldTime = time.Millisecond
 	// tokenTolerance absorbs the rounding of times to nanoseconds.
 	tokenTolerance = 1e-6
 )
@@ -59,6 +66,8 @@
 // coldState is the state of a server that is cold until a known time.
 type coldState struct {
 	until time.Time
+	// listedAt is when the scheduler learned of the server.
+	listedAt time.Time
 	// isConfirmed is set when the server has answered a probe since its entry stated until.
 	// An entry that is read late states a time that has passed.
 	isConfirmed bool
@@ -169,6 +178,11 @@
 	}
 }
 
+// awaitsFirstProbe reports whether a probe has to show first that the server is not cold.
+func (sc *Scheduler) awaitsFirstProbe(now time.Time, s *server) bool {
+	return sc.cold.rate > 0 && !s.cold.isConfirmed && now.Sub(s.cold.listedAt) < firstProbeTime && !s.isLoadKnown(now)
+}
+
 // allowsCold reports whether the bound on a cold server permits the request now. It is
 // true for every server that is not cold.
 func (sc *Scheduler) allowsCold(now time.Time, s *server, r *Request) bool {
@@ -241,6 +255,8 @@
 type capacity struct {
 	// all and free count slots; for cold servers as far as the bound on them permits.
 	all, free float64
+	// holdTime is the mean time that a request holds a slot.
+	holdTime time.Duration
 	// nextFree is when the bound on a cold server next permits a request; zero if no
 	// server is held back by it.
 	nextFree time.Time
@@ -248,14 +264,14 @@
 	onlyCold bool
 }
 
-// addCold adds a cold server with a number of slots and of free slots. holdTime is the mean
-// time that a request holds a slot.
-func (c *capacity) addCold(now time.Time, sc *Scheduler, s *server, w *waiter, limit, free int, holdTime time.Duration) {
+// addCold adds a cold server with a number of slots and of free slots.
+func (c *capacity) addCold(now time.Time, sc *Scheduler, s *server, w *waiter, limit, free int) {
+	c.holdTime = max(sc.meanHoldTime(w), minHoldTime)
 	if w.decidesAlone() {
 		if !w.Alone.includes(s.ID) {
 			return
 		}
-		c.all += min(float64(limit), holdTime.Seconds()/aloneInterval.Seconds())
+		c.all += min(float64(limit), c.holdTime.Seconds()/aloneInterval.Seconds())
 		if sc.allowsCold(now, s, &w.Request) {
 			c.free += float64(min(free, 1))
 			return
@@ -264,7 +280,7 @@
 		return
 	}
 	sc.refill(now, s)
-	c.all += min(float64(limit), sc.cold.rate*holdTime.Seconds())
+	c.all += min(float64(limit), sc.cold.rate*c.holdTime.Seconds())
 	if s.cold.tokens >= 1-tokenTolerance {
 		c.free += min(float64(free), s.cold.tokens)
 		return
--- a/wagplacement/scheduler.go
+++ b/wagplacement/scheduler.go
@@ -226,6 +226,7 @@
 		s, ok := sc.servers[instance.ID]
 		if !ok || !s.Started.Equal(instance.Started) || s.Address != instance.Address {
 			s = &server{probeLimiter: rate.NewLimiter(rate.Limit(sc.probeRate), max(int(sc.probeRate*probeBurstWindow.Seconds()), 1)), withoutReports: sc.serviceWithoutReports(), disabled: sc.disabled}
+			s.cold.listedAt = now
 			sc.servers[instance.ID] = s
 		}
 		if !instance.ColdUntil.Equal(s.ColdUntil) {
