--- a/wagmesh/alone_test.go
+++ b/wagmesh/alone_test.go
@@ -1,6 +1,7 @@
 package wagmesh
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagserver"
 )
 
 // grantTimes records when requests were granted, by server.
@@ -42,12 +44,20 @@
 }
 
 // Guards against the crash of cold servers while hosts decide at the same time that do not
-// reach each other: the owner of the group and another host are cut off, the others elect
-// a new owner, and all have a queue. The cut-off hosts come back later.
+// reach each other: the owner of the group and other hosts are cut off, each from all
+// others, the rest elects a new owner, and all have a queue. The cut-off hosts come back
+// later.
 func TestCutOffHostsSpareColdServers(t *testing.T) {
+	for cutOff := range 5 {
+		t.Run(fmt.Sprint(cutOff), func(t *testing.T) { testCutOffHosts(t, cutOff) })
+	}
+}
+
+func testCutOffHosts(t *testing.T, cutOff int) {
+	t.Helper()
 	const (
-		rate, overage, slack = 4.3, 1.5, 8.0
-		hosts                = 7
+		overage, slack = 1.5, 8.0
+		hosts          = 9
 	)
 	runSite(t, 0, nil, func(s *site) {
 		is := is.New(t)
@@ -57,55 +67,99 @@
 			s.startHost(testMember("a", 0, n))
 		}
 		sleep(5 * time.Second)
-		servers := testServers()[:2]
-		for n := range servers {
-			servers[n].ColdUntil = time.Now().Add(time.Minute)
-		}
-		for _, h := range s.hosts {
-			h.owner.SetColdRates(map[string]float64{testService: rate})
-			h.owner.SetServers(servers)
-			is.Equal(h.owner.ColdServers(), len(servers))
-		}
+		servers := s.setColdServers(testColdRate)
+		is.Equal(s.hosts[0].owner.ColdServers(), len(servers))
 		owner, _ := s.hosts[0].mesh.ownerOf(testService)
 		granted := grantTimes{times: make(map[string][]time.Time)}
-		end := time.Now().Add(8 * time.Second)
 		var requests errgroup.Group
-		for _, h := range s.hosts {
-			for range 3 {
-				requests.Go(func() error {
-					for time.Now().Before(end) {
-						if x, ok := h.placeRequest().(wagowner.Granted); ok {
-							granted.add(x.Server.ID)
-							x.Finish(wagplacement.Result{})
-						}
-						time.Sleep(20 * time.Millisecond) //nolint:forbidigo // The time of a bubble passes at once.
-					}
-					return nil
-				})
-			}
-		}
+		s.placeUntil(&requests, time.Now().Add(8*time.Second), &granted)
 		sleep(2 * time.Second)
-		cutOff := []*host{s.findHost(owner), s.hosts[hosts-1]}
-		if cutOff[0] == cutOff[1] {
-			cutOff[1] = s.hosts[0]
-		}
-		for _, h := range cutOff {
+		slices.SortStableFunc(s.hosts, func(a, b *host) int { return boolOrder(b.member.Name == owner) - boolOrder(a.member.Name == owner) })
+		for _, h := range s.hosts[:cutOff] {
 			s.setSilent(h, true)
 		}
 		sleep(4 * time.Second)
-		for _, h := range cutOff {
+		for _, h := range s.hosts[:cutOff] {
 			s.setSilent(h, false)
 		}
 		is.NoErr(requests.Wait())
 		for _, server := range servers {
 			most := granted.mostInSecond(server.ID)
 			t.Logf("%s: %d grants, at most %d in a second", server.ID, len(granted.times[server.ID]), most)
-			is.True(float64(most) <= rate*overage+slack)
+			is.True(float64(most) <= testColdRate*overage+slack)
 			is.True(len(granted.times[server.ID]) >= 20) // the new owner uses its rate
 		}
 	})
 }
 
+// Guards against the crash of cold servers after a power failure of hosts and servers, when
+// hosts that do not know each other yet take themselves for the owner.
+func TestHostsThatStartTogetherSpareColdServers(t *testing.T) {
+	const (
+		overage, slack = 1.5, 8.0
+		hosts          = 9
+	)
+	runSite(t, 0, nil, func(s *site) {
+		is := is.New(t)
+		s.ownerOptions = []wagowner.Option{wagowner.WithLimits(wagowner.Limits{ColdOverage: overage, ColdSlack: slack})}
+		for n := range hosts {
+			s.startHost(testMember("a", 0, n))
+		}
+		servers := s.setColdServers(testColdRate)
+		granted := grantTimes{times: make(map[string][]time.Time)}
+		var requests errgroup.Group
+		s.placeUntil(&requests, time.Now().Add(4*time.Second), &granted)
+		is.NoErr(requests.Wait())
+		for _, server := range servers {
+			most := granted.mostInSecond(server.ID)
+			t.Logf("%s: %d grants, at most %d in a second", server.ID, len(granted.times[server.ID]), most)
+			is.True(float64(most) <= testColdRate*overage+slack)
+			is.True(len(granted.times[server.ID]) >= 10) // of 17 that the rate permits
+		}
+	})
+}
+
+const testColdRate = 4.3
+
+// setColdServers gives all hosts two servers that stay cold for a minute.
+func (s *site) setColdServers(rate float64) []wagserver.Instance {
+	servers := testServers()[:2]
+	for n := range servers {
+		servers[n].ColdUntil = time.Now().Add(time.Minute)
+	}
+	for _, h := range s.hosts {
+		h.owner.SetColdRates(map[string]float64{testService: rate})
+		h.owner.SetServers(servers)
+	}
+	return servers
+}
+
+// placeUntil places requests at all hosts until a time, three at once at each, and records
+// the grants.
+func (s *site) placeUntil(requests *errgroup.Group, end time.Time, granted *grantTimes) {
+	for _, h := range s.hosts {
+		for range 3 {
+			requests.Go(func() error {
+				for time.Now().Before(end) {
+					if x, ok := h.placeRequest().(wagowner.Granted); ok {
+						granted.add(x.Server.ID)
+						x.Finish(wagplacement.Result{})
+					}
+					time.Sleep(20 * time.Millisecond) //nolint:forbidigo // The time of a bubble passes at once.
+				}
+				return nil
+			})
+		}
+	}
+}
+
+func boolOrder(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // ownerOf returns the name of the owner of a group in the data centre of this host.
 func (m *Mesh) ownerOf(service string) (name string, ok bool) {
 	m.mu.Lock()
