wagplacement, wagowner: Decide again on waiting requests of an evacuated group

When the last server of a group is left out because of an evacuation, waiting requests stayed in the queue until their goal, or until their deadline if they were late.

While a data centre is evacuated, a group without servers decides again on its waiting requests: they are asked for elsewhere or refused at once. A late request, which every other data centre refuses, no longer marks that data centre as full.

Without SetEvacuating(true) the decisions are unchanged.

--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -81,6 +81,8 @@
 	heldRequests    []heldRequest
 	startupDeadline time.Time
 	startupDone     bool
+	// evacuating is set while some data centre is evacuated.
+	evacuating bool
 	// wake is signalled when a scheduler is due before plannedWake, which is zero if none
 	// is due.
 	wake        chan struct{}
@@ -205,6 +207,21 @@
 	o.finishStartup(now)
 }
 
+// SetEvacuating sets whether some data centre is evacuated, so that SetServers may have left
+// out servers. It must follow SetServers.
+func (o *Owner) SetEvacuating(evacuating bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !evacuating && !o.evacuating {
+		return
+	}
+	o.evacuating = evacuating
+	for _, g := range o.groups {
+		g.scheduler.SetEvacuating(o.clock.Now(), evacuating)
+		o.executeCommands(g)
+	}
+}
+
 // finishStartup submits the held requests. The caller must hold o.mu.
 func (o *Owner) finishStartup(now time.Time) {
 	o.startupDone = true
@@ -245,6 +262,7 @@
 	g, ok := o.groups[service]
 	if !ok {
 		g = &group{service: service, scheduler: o.newScheduler(), waiters: make(map[wagplacement.RequestID]waiter)}
+		g.scheduler.SetEvacuating(o.clock.Now(), o.evacuating)
 		o.groups[service] = g
 	}
 	return g
@@ -388,11 +406,11 @@
 	case taken:
 		g.reply(x.Request.ID, granted)
 	case !ok:
-		until := now.Add(spillCooldown)
 		if refused, isRefused := outcome.(Refused); isRefused {
-			until = refused.RetryAt
+			g.scheduler.HandleSpillRefusal(now, x.Request.ID, x.DataCentre, refused.RetryAt)
+		} else {
+			g.scheduler.HandleSpillSilence(now, x.Request.ID, x.DataCentre, now.Add(spillCooldown))
 		}
-		g.scheduler.HandleSpillRefusal(now, x.Request.ID, x.DataCentre, until)
 	}
 	o.executeCommands(g)
 	o.mu.Unlock()
--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -129,6 +129,10 @@
 	if !now.Add(wait).After(w.latestStartForGoal()) {
 		return true
 	}
+	if w.Foreign && sc.isEvacuated() {
+		sc.refuseEvacuated(now, w)
+		return false
+	}
 	if w.Foreign {
 		sc.refuse(&w.Request, ReasonOverload, now.Add(clampRetryDelay(wait)), wait)
 		return false
@@ -136,6 +140,10 @@
 	if sc.requestSpill(now, w) {
 		return true
 	}
+	if sc.isEvacuated() {
+		sc.refuseEvacuated(now, w)
+		return false
+	}
 	if spare := sc.spareRate(now, w); spare > 0 && wait < noServerWait {
 		lateWait := time.Duration(float64(ahead+1) / spare * float64(time.Second))
 		if !now.Add(lateWait).After(w.latestStartForDeadline()) {
@@ -213,11 +221,30 @@
 // HandleSpillRefusal records that a data centre takes no requests until a given time,
 // and decides again on the request.
 func (sc *Scheduler) HandleSpillRefusal(now time.Time, id RequestID, dataCentre string, until time.Time) {
+	if sc.provesFull(now, id) {
+		sc.setFullUntil(dataCentre, until)
+	}
+	sc.readmit(now, id)
+}
+
+// HandleSpillSilence records that a data centre did not reply and is not asked until a
+// given time, and decides again on the request.
+func (sc *Scheduler) HandleSpillSilence(now time.Time, id RequestID, dataCentre string, until time.Time) {
+	sc.setFullUntil(dataCentre, until)
+	sc.readmit(now, id)
+}
+
+// setFullUntil records until when a data centre is not asked for servers.
+func (sc *Scheduler) setFullUntil(dataCentre string, until time.Time) {
 	for i := range sc.remotes {
 		if sc.remotes[i].name == dataCentre {
 			sc.remotes[i].fullUntil = until
 		}
 	}
+}
+
+// readmit decides again on a request that another data centre did not take.
+func (sc *Scheduler) readmit(now time.Time, id RequestID) {
 	w := sc.queue.find(id)
 	if w == nil {
 		return
--- a/wagplacement/scheduler.go
+++ b/wagplacement/scheduler.go
@@ -26,6 +26,8 @@
 	load      loadEstimate
 	knee      knee
 	remotes   []remoteDataCentre
+	// evacuating is set while some data centre is evacuated.
+	evacuating bool
 	// answeredAt is when a server of the group last answered a request or a probe.
 	answeredAt time.Time
 	// searchOffset is where the search for a server starts. It moves on, so that equal
