waghost, waggateway, platform: Evacuate data centres

Nothing took a data centre out of service while its servers run.

Where the settings state evacMs, hosts follow the objects of the kind evacuations, whose names are data centres. Their servers are left out of the list that owners place requests on. The gateway asks right before each attempt and hedge whether the server may get requests; the grant is given back as cancelled otherwise, and the request is placed again.

Without evacMs neither the calls to the store nor the requests change.

--- a/commands/gateway.go
+++ b/commands/gateway.go
@@ -55,7 +55,7 @@
 			// overlap, and it kills the process itself after the grace period.
 			ctx, stop := untilSignal(ctx, syscall.SIGTERM)
 			defer stop()
-			h := waghost.NewSiteHost(s.SiteSettings(), platform.NewStore(s.Store.Address, platform.WithObserver(metrics.CountStoreCall)), platform.ObjectDecoder{}, platform.Protocol{},
+			h := waghost.NewSiteHost(s.SiteSettings(), platform.NewStore(s.Store.Address, platform.WithObserver(metrics.CountStoreCall)), s.ObjectDecoder(), platform.Protocol{},
 				waghost.WithSiteLog(log), waghost.WithSiteMetrics(metrics))
 			// Reloads and the log continue during the graceful shutdown.
 			backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/waggateway/hedge.go
+++ b/waggateway/hedge.go
@@ -39,6 +39,10 @@
 	}
 	q.avoidServers = append(q.avoidServers, granted.Server.ID)
 	secondGrant, ok := q.place(ctx, true).(wagowner.Granted)
+	if ok && !q.gateway.mayAttempt(secondGrant) {
+		secondGrant.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+		ok = false
+	}
 	if !ok {
 		t := <-h.ended
 		q.finish(t)
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -297,7 +297,7 @@
 func (q *request) run() response {
 	ctx, cancel := context.WithDeadline(q.incoming.Context(), q.deadline)
 	q.cancels = append(q.cancels, cancel)
-	for {
+	for withheld := 0; ; {
 		outcome := q.place(ctx, false)
 		granted, ok := outcome.(wagowner.Granted)
 		if !ok {
@@ -308,6 +308,14 @@
 			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
 			return q.shutdownResponse()
 		}
+		if !q.gateway.mayAttempt(granted) {
+			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+			if !q.awaitOtherServer(ctx, withheld) {
+				return q.refusalResponse(wagowner.Refused{Reason: wagplacement.ReasonDeadline, RetryAt: q.gateway.clock.Now().Add(rejectedRetryDelay)})
+			}
+			withheld++
+			continue
+		}
 		resp, final := q.responseOrRetry(ctx, q.sendHedged(ctx, granted))
 		if final {
 			return resp
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -80,6 +80,8 @@
 	// durations holds how long the servers' work takes, by route.
 	durations       routeDurations
 	requestCounters sync.Map // route name to *atomic.Uint64, the number of its requests
+	// maySend reports whether a request may be sent to the server with an ID; nil for all.
+	maySend func(serverID string) bool
 	// limits bound what callers holds.
 	limits  Limits
 	callers callers
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -33,7 +33,7 @@
 	// Kinds returns the kinds of objects that a host needs.
 	Kinds() []string
 	// Decode decodes an object that was read at the given time. It returns a
-	// *wagsite.Config, a wagserver.Instance, or nil for an object that hosts do not use.
+	// *wagsite.Config, a wagserver.Instance, a wagsite.Evacuation, or nil for an object that hosts do not use.
 	Decode(r wagmirror.Record, readAt time.Time) (any, error)
 	// RequestIDHeader returns the name of the header in which servers echo the ID of a
 	// request.
@@ -59,6 +59,8 @@
 	// ApplyTimeout is the time within which a change of the store has to be in force; 0 for
 	// wagroster.DefaultApplyTimeout.
 	ApplyTimeout time.Duration
+	// FollowEvacuations is set if the kinds of the ObjectDecoder include evacuations.
+	FollowEvacuations bool
 	// Limits bound the retries and probes of the server groups that this host owns.
 	Limits wagowner.Limits
 	// MemoryBytes and MaxFileDescriptors are the limits of the process, from which
@@ -88,6 +90,14 @@
 	mu sync.Mutex
 	// servers holds the registered servers by the names of their objects.
 	servers map[string]wagserver.Instance
+	// evacuations holds the evacuations in force.
+	evacuations evacuations
+	// evacuationsKnown is set when this host waits for the evacuations no longer, which it
+	// does until evacuationsWaitUntil at the latest.
+	evacuationsKnown     atomic.Bool
+	evacuationsWaitUntil time.Time
+	// withheldAttempts counts the grants that were given back unsent.
+	withheldAttempts atomic.Uint64
 	// loggedFaults holds what was logged of invalid objects and of configurations that
 	// are used in part, so that it is logged once. It is emptied at maxLoggedFaults.
 	loggedFaults map[string]bool
@@ -132,8 +142,12 @@
 	s.seeds.Store(&settings.Seeds)
 	s.owner.SetRemotePlaceFunc(s.mesh.PlaceRemote)
 	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log.Logger()), waggateway.WithObserver(obs),
-		waggateway.WithLimits(waggateway.Limits{MemoryBytes: limits.CallerMemoryBytes, Connections: limits.CallerConnections}))
+		waggateway.WithSendCheck(s.maySend), waggateway.WithLimits(waggateway.Limits{MemoryBytes: limits.CallerMemoryBytes, Connections: limits.CallerConnections}))
+	s.evacuationsWaitUntil = s.clock.Now().Add(evacuationsWaitTimeout)
 	s.registerMetrics()
+	if settings.FollowEvacuations {
+		s.registerEvacuationMetrics()
+	}
 	s.registerBudgetMetrics(limits.CallerConnections)
 	return s
 }
@@ -159,11 +173,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	serversChanged := false
+	serversChanged, evacuationsChanged := false, false
 	// The first list has hundreds of servers; one line says so.
 	isFirstList := len(s.servers) == 0
 	for _, r := range records {
 		if r.Deleted {
+			if dataCentre, ok := s.evacuations.remove(r); ok {
+				s.logEvacuation("takenBack", dataCentre, r)
+				evacuationsChanged = true
+				continue
+			}
 			_, known := s.servers[r.Name]
 			delete(s.servers, r.Name)
 			serversChanged = serversChanged || known
@@ -180,10 +199,15 @@
 			s.applyConfig(object)
 		case wagserver.Instance:
 			serversChanged = s.updateServer(r, object, isFirstList) || serversChanged
+		case wagsite.Evacuation:
+			if s.evacuations.add(r, object) {
+				s.logEvacuation("evacuated", object.DataCentre, r)
+				evacuationsChanged = true
+			}
 		}
 	}
-	if serversChanged {
-		s.setOwnerServers()
+	if serversChanged || evacuationsChanged {
+		s.setOwnerServers(serversChanged || len(s.servers) > 0)
 	}
 	if serversChanged && isFirstList {
 		s.log.Info(waglog.KindServer, waglog.Fields{"event": "list", "servers": len(s.servers)})
@@ -305,10 +329,15 @@
 	s.metrics.RegisterCounter("site_evicted_callers_total", "Connections of callers that were closed to make room for others.", func() float64 { return float64(s.gateway.BudgetStats().Evicted) })
 }
 
-// setOwnerServers passes the registered servers to the owner. s.mu must be held.
-func (s *SiteHost) setOwnerServers() {
-	list := slices.Collect(maps.Values(s.servers))
-	s.owner.SetServers(list)
+// setOwnerServers puts the evacuations in force and passes the registered servers outside
+// the evacuated data centres to the owner, unless it has to wait for the first list of
+// servers. s.mu must be held.
+func (s *SiteHost) setOwnerServers(isListKnown bool) {
+	list := s.evacuations.apply(slices.Collect(maps.Values(s.servers)))
+	if isListKnown {
+		s.owner.SetServers(list)
+	}
+	s.owner.SetEvacuating(len(s.evacuations.dataCentres) > 0)
 }
 
 // Run serves requests until ctx ends, and then shuts down gracefully.
--- a/wagsync/start.go
+++ b/wagsync/start.go
@@ -137,5 +137,13 @@
 	return kinds
 }
 
+// HasDeliveredAll reports whether the objects of all kinds were read and passed to the
+// ChangeHandler. It must not be called by the ChangeHandler.
+func (s *Sync) HasDeliveredAll() bool {
+	s.deliveryMu.Lock()
+	defer s.deliveryMu.Unlock()
+	return !s.HasUnreadKinds()
+}
+
 // HasUnreadKinds reports whether the objects of some kind were never read.
 func (s *Sync) HasUnreadKinds() bool { return len(s.unreadKinds()) > 0 }
