--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -187,12 +187,18 @@
 
 // run runs f with a running Sync in a synctest bubble.
 func run(t *testing.T, f func(is *is.I, x *fixture)) {
+	t.Helper()
+	runKinds(t, []string{"config", "servers"}, f)
+}
+
+// runKinds runs f with a running Sync of some kinds in a synctest bubble.
+func runKinds(t *testing.T, kinds []string, f func(is *is.I, x *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		x := &fixture{store: newStore(), received: make(map[string]wagmirror.Revision)}
-		x.sync = New(x.store, x.changed, []string{"config", "servers"}, WithLog(log))
+		x.sync = New(x.store, x.changed, kinds, WithLog(log))
 		ctx, cancel := context.WithCancel(context.Background())
 		x.ctx = ctx
 		var g errgroup.Group
