wagplacement: Take late requests of evacuated data centres

A late request that another data centre passes on is refused there. While a data centre is evacuated, its late requests have no other place to run and were all refused, although other data centres had unused capacity.

While some data centre is evacuated, late requests of other data centres are admitted like those of the own one: if the requests in time leave capacity unused.

--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -129,15 +129,11 @@
 	if !now.Add(wait).After(w.latestStartForGoal()) {
 		return true
 	}
-	if w.Foreign && sc.isEvacuated() {
-		sc.refuseEvacuated(now, w)
-		return false
-	}
-	if w.Foreign {
+	if w.Foreign && !sc.evacuating {
 		sc.refuse(&w.Request, ReasonOverload, now.Add(clampRetryDelay(wait)), wait)
 		return false
 	}
-	if sc.requestSpill(now, w) {
+	if !w.Foreign && sc.requestSpill(now, w) {
 		return true
 	}
 	if sc.isEvacuated() {
--- a/wagplacement/evacuation.go
+++ b/wagplacement/evacuation.go
@@ -46,8 +46,9 @@
 }
 
 // provesFull reports whether the refusal of a request by another data centre means that it
-// has no room. It refuses each request that cannot meet its goal; while the own group is
-// evacuated, such requests go there first and would close it for all others.
+// has no room for others. A request that cannot meet its goal is served there only if the
+// others leave capacity unused; while the own group is evacuated, it must not close the
+// data centre for them.
 func (sc *Scheduler) provesFull(now time.Time, id RequestID) bool {
 	w := sc.queue.find(id)
 	return w == nil || !w.isLate(now) || !sc.isEvacuated()
--- a/wagplacement/evacuation_test.go
+++ b/wagplacement/evacuation_test.go
@@ -150,3 +150,21 @@
 	g.submit(nil)
 	is.Equal(len(g.spills), 3)
 }
+
+// Guards against late requests of an evacuated data centre that are refused although other
+// data centres have unused capacity, and against late ones that are taken there otherwise
+// or that displace others.
+func TestLateForeignRequest(t *testing.T) {
+	is := is.New(t)
+	late := func(r *Request) { r.Foreign, r.Goal = true, r.Goal.Add(-testGoal) }
+	g := newGroup(1, 4)
+	is.Equal(g.refused[g.submit(late)].Reason, ReasonOverload)
+	g.scheduler.SetEvacuating(g.now, true)
+	id := g.submit(late)
+	is.True(g.granted[id] != "")
+	is.Equal(len(g.spills), 0)
+	for range 70 {
+		g.submit(nil)
+	}
+	is.Equal(g.refused[g.submit(late)].Reason, ReasonOverload)
+}
--- a/wagplacement/wagplacement.go
+++ b/wagplacement/wagplacement.go
@@ -34,7 +34,9 @@
 	// towards the retry budget.
 	Repeat bool
 	// Foreign marks a request from another data centre. It is not passed on to a third
-	// one and is refused when it cannot be answered by its goal.
+	// one and is refused when it cannot be answered by its goal. While a data centre is
+	// evacuated, its late requests have no other place to run, so that late ones are
+	// treated like those of the own data centre.
 	Foreign bool
 	// OwnerUnreachable is set when the host that took the request decides by itself,
 	// because the owner of the group does not reply. Such a host knows only some of the
