wagmesh: Take confirmations only from hosts that follow all kinds

While the settings state evacMs only at some hosts, as during a change of the settings, the leader may follow two kinds and confirm copies to a host with three.

A confirmation counts only if the peer follows all kinds of the host. A host without such a peer follows the store itself. Where all hosts follow the same kinds, nothing changes.

--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -251,14 +251,28 @@
 	isFirstStart bool
 	// seeds holds the addresses that hosts which start now dial first.
 	seeds []netip.AddrPort
+	// furtherKind returns the kind that a host which starts follows beside testKind, or an
+	// empty string; nil for none.
+	furtherKind func(m wagroster.Member) string
+}
+
+// kinds returns the kinds that a host which starts follows.
+func (s *site) kinds(m wagroster.Member) []string {
+	if s.furtherKind == nil || s.furtherKind(m) == "" {
+		return []string{testKind}
+	}
+	return []string{testKind, s.furtherKind(m)}
 }
 
 // runSite runs f with a site that has a number of hosts in each data centre.
-func runSite(t *testing.T, hosts int, dataCentres []string, f func(s *site)) {
+func runSite(t *testing.T, hosts int, dataCentres []string, f func(s *site), opts ...func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &site{t: t, network: newNetwork(), store: newStore(), probes: make(map[string]int), isFirstStart: true,
 			seeds: []netip.AddrPort{testMember("", 0, 0).Address, testMember("", 1, 0).Address}}
+		for _, o := range opts {
+			o(s)
+		}
 		for n := range hosts {
 			for i, dataCentre := range dataCentres {
 				s.startHost(testMember(dataCentre, i, n))
@@ -298,7 +312,7 @@
 		case changed <- struct{}{}:
 		default:
 		}
-	}, []string{testKind}, wagsync.WithLog(log), wagsync.WithFirstStart(s.isFirstStart))
+	}, s.kinds(m), wagsync.WithLog(log), wagsync.WithFirstStart(s.isFirstStart))
 	h.mesh = New(m, h.sync, h.owner, WithLog(log),
 		WithSeeds(func() []netip.AddrPort { return seeds }),
 		WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
--- a/wagmesh/heartbeat.go
+++ b/wagmesh/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
@@ -33,6 +34,11 @@
 	l.mu.Lock()
 	l.peerConfirmedAt = wagclock.Later(l.peerConfirmedAt, confirmed)
 	l.mu.Unlock()
+	if !coversKinds(b.GetComplete(), complete) {
+		// The peer does not follow a kind of this host, as while settings are changed from
+		// host to host.
+		return
+	}
 	for _, c := range b.GetComplete() {
 		if complete[c.GetKind()] < wagmirror.Revision(c.GetRevision()) {
 			// Changes that the peer already has are still in transit.
@@ -42,6 +48,16 @@
 	l.mesh.recordConfirmation(l, confirmed)
 }
 
+// coversKinds reports whether a peer follows all kinds of this host.
+func coversKinds(list []*Complete, complete map[string]wagmirror.Revision) bool {
+	for kind := range complete {
+		if !slices.ContainsFunc(list, func(c *Complete) bool { return c.GetKind() == kind }) {
+			return false
+		}
+	}
+	return true
+}
+
 // pushUpdates sends the changes that the peer's copy lacks. complete holds the revision
 // of each kind up to which this host's copy is complete.
 func (l *link) pushUpdates(complete map[string]wagmirror.Revision) {
--- a/wagmesh/store_test.go
+++ b/wagmesh/store_test.go
@@ -75,10 +75,10 @@
 
 var _ wagmirror.Store = hostStore{}
 
-// snapshot returns the object, the revision and whether the host is refused; s.mu is
+// snapshot returns the object of a kind, the revision and whether the host is refused; s.mu is
 // held.
-func (s hostStore) snapshot() (wagmirror.Record, wagmirror.Revision, bool) {
-	r := wagmirror.Record{Kind: testKind, Name: "main", Revision: s.revision, Body: []byte(fmt.Sprint(s.revision))}
+func (s hostStore) snapshot(kind string) (wagmirror.Record, wagmirror.Revision, bool) {
+	r := wagmirror.Record{Kind: kind, Name: "main", Revision: s.revision, Body: []byte(fmt.Sprint(s.revision))}
 	return r, s.revision, s.refused[s.host]
 }
 
@@ -113,21 +113,21 @@
 	return nil
 }
 
-func (s hostStore) List(ctx context.Context, _ string) (wagmirror.Update, error) {
+func (s hostStore) List(ctx context.Context, kind string) (wagmirror.Update, error) {
 	if s.waitIfSilent(ctx, time.Now()) {
 		return wagmirror.Update{}, wagstore.ErrTimeout
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	r, at, refused := s.snapshot()
+	r, at, refused := s.snapshot(kind)
 	if refused {
 		return wagmirror.Update{}, wagstore.ErrUnavailable
 	}
-	return wagmirror.Update{Kind: testKind, Full: true, At: at, Records: []wagmirror.Record{r}}, nil
+	return wagmirror.Update{Kind: kind, Full: true, At: at, Records: []wagmirror.Record{r}}, nil
 }
 
-func (s hostStore) Watch(ctx context.Context, _ string, after wagmirror.Revision, until time.Time) (wagmirror.Update, error) {
+func (s hostStore) Watch(ctx context.Context, kind string, after wagmirror.Revision, until time.Time) (wagmirror.Update, error) {
 	s.mu.Lock()
 	s.watches++
 	s.mu.Unlock()
@@ -136,10 +136,10 @@
 			return wagmirror.Update{}, wagstore.ErrTimeout
 		}
 		s.mu.Lock()
-		r, at, refused := s.snapshot()
+		r, at, refused := s.snapshot(kind)
 		changed := s.changed
 		s.mu.Unlock()
-		u := wagmirror.Update{Kind: testKind, Since: after, At: at}
+		u := wagmirror.Update{Kind: kind, Since: after, At: at}
 		switch {
 		case refused:
 			return u, wagstore.ErrUnavailable
