wagplacement, waggateway: Count a request once whose grant was withheld

A request that is placed again, because its grant was given back unsent, counted as a further request in the retry budget and permitted more repeats than retryRatio states; a repeat counted twice.

Requests are placed so only after a send check has withheld a grant.

--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -70,7 +70,9 @@
 	// attempts counts the servers that the request was sent to; serversTried also
 	// counts those that could not be reached.
 	attempts, serversTried int
-	avoidServers           []string
+	// withheld counts the grants since the latest attempt that were given back unsent.
+	withheld     int
+	avoidServers []string
 	// lastServer is the ID of the last server that the request was sent to, and
 	// waitTime how long the request waited for servers.
 	lastServer    string
@@ -297,7 +299,7 @@
 func (q *request) run() response {
 	ctx, cancel := context.WithDeadline(q.incoming.Context(), q.deadline)
 	q.cancels = append(q.cancels, cancel)
-	for withheld := 0; ; {
+	for {
 		outcome := q.place(ctx, false)
 		granted, ok := outcome.(wagowner.Granted)
 		if !ok {
@@ -310,12 +312,13 @@
 		}
 		if !q.gateway.mayAttempt(granted) {
 			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
-			if !q.awaitOtherServer(ctx, withheld) {
+			if !q.awaitOtherServer(ctx) {
 				return q.refusalResponse(wagowner.Refused{Reason: wagplacement.ReasonDeadline, RetryAt: q.gateway.clock.Now().Add(rejectedRetryDelay)})
 			}
-			withheld++
+			q.withheld++
 			continue
 		}
+		q.withheld = 0
 		resp, final := q.responseOrRetry(ctx, q.sendHedged(ctx, granted))
 		if final {
 			return resp
@@ -339,7 +342,7 @@
 	}
 	outcome := q.gateway.placer.Place(ctx, q.service, wagplacement.Request{
 		Route: q.route.Name, Rank: q.route.Rank, Goal: goal, Deadline: q.deadline,
-		Name: q.id, Avoid: append(q.gateway.upstream.RestrictedServers(q.service), q.avoidServers...), Repeat: q.attempts > 0, Hedge: hedge,
+		Name: q.id, Avoid: append(q.gateway.upstream.RestrictedServers(q.service), q.avoidServers...), Repeat: q.attempts > 0, Hedge: hedge, PlacedAgain: q.withheld > 0,
 	})
 	if !hedge {
 		q.waitTime += q.gateway.clock.Now().Sub(start)
--- a/waggateway/withhold.go
+++ b/waggateway/withhold.go
@@ -30,12 +30,12 @@
 	return g.maySend == nil || g.maySend(granted.Server.ID)
 }
 
-// awaitOtherServer waits until the request may be placed again after a number of withheld
-// grants. It returns false if the request ends first.
-func (q *request) awaitOtherServer(ctx context.Context, withheld int) bool {
-	if withheld == 0 {
+// awaitOtherServer waits until the request may be placed again after one more withheld
+// grant. It returns false if the request ends first.
+func (q *request) awaitOtherServer(ctx context.Context) bool {
+	if q.withheld == 0 {
 		return ctx.Err() == nil
 	}
-	delay := min(firstWithheldDelay<<min(withheld-1, 8), maxWithheldDelay)
+	delay := min(firstWithheldDelay<<min(q.withheld-1, 8), maxWithheldDelay)
 	return wagclock.Wait(ctx, q.gateway.clock, q.gateway.clock.Now().Add(delay))
 }
--- a/waggateway/withhold_test.go
+++ b/waggateway/withhold_test.go
@@ -44,8 +44,9 @@
 			is.Equal(body, "ok")
 			is.Equal(a.requestCount(), 0)
 			is.Equal(len(f.placer.requests), 4)
-			for _, r := range f.placer.requests {
+			for n, r := range f.placer.requests {
 				is.True(!r.Repeat)
+				is.Equal(r.PlacedAgain, n > 0)
 				is.Equal(len(r.Avoid), 0)
 			}
 			for _, r := range f.placer.reportedResults()[:3] {
--- a/wagmesh/message.go
+++ b/wagmesh/message.go
@@ -103,7 +103,7 @@
 	return &Place{
 		Id: id, Service: service, Route: r.Route, Rank: uint32(max(r.Rank, 0)), GoalLeft: int32(r.Goal.Sub(now).Milliseconds()),
 		DeadlineLeft: uint32(max(r.Deadline.Sub(now).Milliseconds(), 0)), Avoid: r.Avoid, Repeat: r.Repeat, Foreign: r.Foreign, Name: r.Name, Hedge: r.Hedge,
-		Customer: r.Customer,
+		Customer: r.Customer, PlacedAgain: r.PlacedAgain,
 	}
 }
 
@@ -112,7 +112,7 @@
 	return wagplacement.Request{
 		Route: m.GetRoute(), Rank: int(m.GetRank()), Goal: now.Add(milliseconds(int64(m.GetGoalLeft()))),
 		Deadline: now.Add(milliseconds(int64(m.GetDeadlineLeft()))), Avoid: m.GetAvoid(), Repeat: m.GetRepeat(), Foreign: m.GetForeign(), Name: m.GetName(), Hedge: m.GetHedge(),
-		Customer: m.GetCustomer(),
+		Customer: m.GetCustomer(), PlacedAgain: m.GetPlacedAgain(),
 	}
 }
 
--- a/wagplacement/evacuation_test.go
+++ b/wagplacement/evacuation_test.go
@@ -168,3 +168,25 @@
 	}
 	is.Equal(g.refused[g.submit(late)].Reason, ReasonOverload)
 }
+
+// Guards against a request that is placed again, because its grant was given back unsent,
+// and that permits or takes a further repeat each time.
+func TestPlacedAgainCountsOnce(t *testing.T) {
+	const requests, permitted = 10, 2
+	is := is.New(t)
+	g := newGroup(4, 50, WithRetryBudget(0.25, 0, 10*time.Second)) // the owner uses 0.8 of it
+	for range requests {
+		g.finish(g.submit(nil), FaultCanceled)
+		for range 5 {
+			g.finish(g.submit(func(r *Request) { r.PlacedAgain = true }), FaultCanceled)
+		}
+	}
+	repeat := func(r *Request) { r.Repeat = true }
+	for range permitted {
+		id := g.submit(repeat)
+		is.True(g.granted[id] != "")
+		g.finish(id, FaultCanceled)
+		is.True(g.granted[g.submit(func(r *Request) { r.Repeat, r.PlacedAgain = true, true })] != "")
+	}
+	is.Equal(g.refused[g.submit(repeat)].Reason, ReasonBudget)
+}
--- a/wagplacement/scheduler.go
+++ b/wagplacement/scheduler.go
@@ -91,6 +91,8 @@
 	switch {
 	case r.Foreign:
 		// Its own data centre counts the request in its retry budget.
+	case r.PlacedAgain:
+		// The retry budget has counted it.
 	case !r.Repeat:
 		sc.budget.countRequest(now)
 	case !sc.budget.takeRepeat(now, r):
--- a/wagplacement/wagplacement.go
+++ b/wagplacement/wagplacement.go
@@ -38,6 +38,9 @@
 	// evacuated, its late requests have no other place to run, so that late ones are
 	// treated like those of the own data centre.
 	Foreign bool
+	// PlacedAgain marks a request whose latest grant was given back unsent. It was counted
+	// when that was granted.
+	PlacedAgain bool
 	// OwnerUnreachable is set when the host that took the request decides by itself,
 	// because the owner of the group does not reply. Such a host knows only some of the
 	// repeats.
