--- a/waggateway/hedge.go
+++ b/waggateway/hedge.go
@@ -75,7 +75,7 @@
 	case outcome := <-placed:
 		cancel()
 		granted, ok := outcome.(wagowner.Granted)
-		if ok && q.updateAccess() {
+		if ok && q.updateAccess() && q.gateway.mayAttempt(granted) {
 			return granted, nil
 		}
 		if ok {
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -74,7 +74,9 @@
 	// attempts counts the servers that the request was sent to; serversTried also
 	// counts those that could not be reached.
 	attempts, serversTried int
-	avoidServers           []string
+	// withheld counts the grants since the latest attempt that were given back unsent.
+	withheld     int
+	avoidServers []string
 	// lastServer is the ID of the last server that the request was sent to, and
 	// waitTime how long the request waited for servers.
 	lastServer    string
@@ -328,6 +330,15 @@
 			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
 			return q.shutdownResponse()
 		}
+		if !q.gateway.mayAttempt(granted) {
+			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+			if !q.awaitOtherServer(ctx) {
+				return q.refusalResponse(wagowner.Refused{Reason: wagplacement.ReasonDeadline, RetryAt: q.gateway.clock.Now().Add(rejectedRetryDelay)})
+			}
+			q.withheld++
+			continue
+		}
+		q.withheld = 0
 		resp, final := q.responseOrRetry(ctx, q.sendHedged(ctx, granted))
 		if final {
 			return resp
@@ -359,6 +370,7 @@
 	return wagplacement.Request{
 		Route: q.route.Name, Rank: q.rank(), Customer: q.access.customerName(), Goal: goal, Deadline: q.deadline,
 		Name: q.id, Avoid: append(q.gateway.upstream.RestrictedServers(q.service), q.avoidServers...), Repeat: q.attempts > 0, Hedge: hedge,
+		PlacedAgain: q.withheld > 0,
 	}
 }
 
--- a/wagplacement/scheduler.go
+++ b/wagplacement/scheduler.go
@@ -27,6 +27,8 @@
 	knee      knee
 	cold      coldLimit
 	remotes   []remoteDataCentre
+	// evacuating is set while some data centre is evacuated.
+	evacuating bool
 	// answeredAt is when a server of the group last answered a request or a probe.
 	answeredAt time.Time
 	// searchOffset is where the search for a server starts. It moves on, so that equal
@@ -90,6 +92,8 @@
 	switch {
 	case r.Foreign:
 		// Its own data centre counts the request in its retry budget.
+	case r.PlacedAgain:
+		// The retry budget has counted it.
 	case !r.Repeat:
 		sc.budget.countRequest(now)
 	case !sc.budget.takeRepeat(now, r):
