wagquota, wagowner, wagmesh, waghost: Limit the requests of customers over all hosts

A configuration may state ratePerS and burst of a customer, and nothing kept customers within them.

The owner of a server group charges the customer of a request. It spends credit that the quota coordinator of the customer's shard granted in advance, or a small debt. Reports and replies are batched for 10 ms and travel as repeated fields of the frames between hosts. The coordinator is one strong host of the whole site. A part counts towards the refill only while it repeats the stamp of a reply that is younger than 1 s, and spends its share of the rate by itself 1 s after the last reply, so that the shares never add up to more than the rate.

Quotas are active only with a window in the settings and a limit in the configuration.

--- a/waghost/site.go
+++ b/waghost/site.go
@@ -131,9 +131,11 @@
 		wagmesh.WithSeeds(func() []netip.AddrPort { return *s.seeds.Load() }))
 	s.seeds.Store(&settings.Seeds)
 	s.owner.SetRemotePlaceFunc(s.mesh.PlaceRemote)
+	s.owner.SetQuotaLinks(s.mesh)
 	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log.Logger()), waggateway.WithObserver(obs),
 		waggateway.WithLimits(waggateway.Limits{MemoryBytes: limits.CallerMemoryBytes, Connections: limits.CallerConnections}))
 	s.registerMetrics()
+	s.registerQuotaMetrics()
 	s.registerBudgetMetrics(limits.CallerConnections)
 	return s
 }
@@ -233,6 +235,7 @@
 		names = append(names, service.Name)
 	}
 	s.mesh.SetServices(names)
+	s.owner.SetCustomers(quotaLimits(c), names)
 	s.metrics.ConfigVersion.Set(float64(c.Version))
 	s.log.Info(waglog.KindConfig, waglog.Fields{"event": "inForce", "version": uint64(c.Version), "copyAgeMs": ms(s.copyAge())})
 }
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -184,7 +184,7 @@
 		l.pending = &Frame{}
 	}
 	add(l.pending)
-	if len(l.pending.Places)+len(l.pending.Placed)+len(l.pending.Finishes)+len(l.pending.Members)+len(l.pending.Updates) > maxPendingMessages {
+	if len(l.pending.Places)+len(l.pending.Placed)+len(l.pending.Finishes)+len(l.pending.Members)+len(l.pending.Updates)+len(l.pending.QuotaCharges)+len(l.pending.QuotaAcks) > maxPendingMessages {
 		l.cancel(errSendQueueFull)
 	}
 	select {
@@ -298,6 +298,7 @@
 	for _, p := range f.GetPlaces() {
 		l.handlePlace(now, p)
 	}
+	l.handleQuotas(f)
 	if len(f.GetMembers()) > 0 {
 		m.receiveMembers(l, f.GetMembers())
 	}
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -115,6 +115,8 @@
 	// services are the services to whose owners this host keeps a link.
 	services  []string
 	startedAt time.Time
+	// quotaCoordinators holds the selected quota coordinators, by shard.
+	quotaCoordinators map[int]quotaCoordinator
 	// inboundLinks counts the open links that other hosts opened, and unknownConns the
 	// connections of others that have not sent a hello.
 	inboundLinks, unknownConns int
@@ -157,7 +159,8 @@
 		// Hosts that start together begin with different seeds.
 		nextSeedIndex: int(waglease.Score("seed", self.Name) % maxSeedIndex), encodedUpdates: make(map[updateKey]*Update),
 		changedMembers: make(map[string]*link), knownOwners: make(map[string]knownOwner),
-		freshness: wagroster.NewFreshness(0),
+		quotaCoordinators: make(map[int]quotaCoordinator),
+		freshness:         wagroster.NewFreshness(0),
 	}
 	for _, option := range opts {
 		option(m)
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -14,6 +14,7 @@
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagquota"
 	"github.com/wagtailspar/wagtailspar/wagserver"
 )
 
@@ -85,6 +86,7 @@
 	// is due.
 	wake        chan struct{}
 	plannedWake time.Time
+	quota       quotas
 }
 
 // heldRequest is a request that arrived before the first list of servers.
@@ -106,6 +108,9 @@
 type waiter struct {
 	reply func(Outcome)
 	since time.Time
+	// customer was charged for the request with the decision admit, unless it is empty.
+	customer string
+	admit    wagquota.Admit
 }
 
 // Option configures an Owner.
@@ -159,6 +164,7 @@
 	o := &Owner{
 		dataCentre: dataCentre, prober: prober, observer: discardObserver{}, placeRemote: func(context.Context, string, string, wagplacement.Request) Outcome { return nil },
 		clock: wagclock.System{}, groups: make(map[string]*group), wake: make(chan struct{}, 1),
+		quota: quotas{links: localLinks{}, parts: make(map[partKey]*wagquota.Part), coordinators: make(map[int]*wagquota.Coordinator)},
 	}
 	for _, option := range opts {
 		option(o)
@@ -268,15 +274,23 @@
 	now := o.clock.Now()
 	g.waiters[r.ID] = waiter{reply: reply, since: now}
 	t := Ticket{owner: o, group: g, id: r.ID}
+	if o.takeQuota(now, g, r) {
+		o.submitAdmitted(now, g, r)
+	}
+	return t
+}
+
+// submitAdmitted submits a request that is within the quota of its customer. The caller
+// must hold o.mu.
+func (o *Owner) submitAdmitted(now time.Time, g *group, r wagplacement.Request) {
 	if !o.startupDone && !r.Foreign && now.Before(o.startupDeadline) {
 		until := wagclock.Earlier(o.startupDeadline, now.Add(r.Deadline.Sub(now)/2))
 		o.heldRequests = append(o.heldRequests, heldRequest{group: g, request: r, until: until})
 		o.scheduleWake(until)
-		return t
+		return
 	}
 	g.scheduler.Submit(now, r)
 	o.executeCommands(g)
-	return t
 }
 
 // IsWaiting reports whether the request has no outcome yet.
@@ -296,6 +310,7 @@
 	if _, waiting := t.group.waiters[t.id]; !waiting {
 		return false
 	}
+	o.returnQuota(o.clock.Now(), t.group, t.id)
 	delete(t.group.waiters, t.id)
 	t.group.scheduler.Cancel(o.clock.Now(), t.id)
 	return true
@@ -326,6 +341,7 @@
 			g.reply(x.Request.ID, Granted{Server: x.Server, HedgeAfter: x.HedgeAfter, Finish: func(r wagplacement.Result) { o.finish(g, x.Request.ID, r) }})
 		case wagplacement.Refuse:
 			o.observer.ObserveRefusal(g.service, o.waitTime(g, x.Request.ID), x)
+			o.returnQuota(o.clock.Now(), g, x.Request.ID)
 			g.reply(x.Request.ID, Refused{Reason: x.Reason, RetryAt: x.RetryAt})
 		case wagplacement.Spill:
 			o.tasks.Go(func() error {
@@ -452,6 +468,7 @@
 	if len(o.heldRequests) > 0 {
 		next = o.submitExpired(now)
 	}
+	next = earlierWake(next, o.tickQuota(now))
 	for _, g := range o.groups {
 		if at := g.scheduler.NextWake(); !at.IsZero() && !at.After(now) {
 			g.scheduler.Tick(now)
