wagmesh, wagroster, wagowner: Select the quota coordinator among the relays

Hosts know all members of their own data centre, but only the relay of some others. In a site of three data centres, hosts selected two different coordinators for a shard, in calm and for good. The coordinator is now one of the relays, which every host knows. Tests on a simulated network cover a hot customer, a lost, silent, suspended and isolated coordinator, and sites without limits.

--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -290,7 +290,7 @@
 	h := &host{member: m, site: s, log: log}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.owner = wagowner.New(m.DataCentre, h)
+	h.owner = wagowner.New(m.DataCentre, h, wagowner.WithLimits(wagowner.Limits{Quota: wagowner.QuotaLimits{Window: 5 * time.Second, Overage: 0.1, Slack: 20, DataCentres: 3}}))
 	h.owner.SetServers(testServers())
 	changed, seeds := make(chan struct{}, 1), s.seeds
 	h.sync = wagsync.New(hostStore{s.store, m.Name}, func([]wagmirror.Record) {
@@ -306,6 +306,7 @@
 		}))
 	h.mesh.SetServices([]string{testService})
 	h.owner.SetRemotePlaceFunc(h.mesh.PlaceRemote)
+	h.owner.SetQuotaLinks(h.mesh)
 	l := s.network.listen(m.Address)
 	h.group.Go(func() error { return h.sync.Run(ctx) })
 	h.group.Go(func() error { return h.owner.Run(ctx) })
--- /dev/null
+++ b/wagmesh/quota_test.go
@@ -0,0 +1,154 @@
+package wagmesh
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagquota"
+)
+
+const hotCustomer = "hot"
+
+// runQuotaSite runs f with a site of three data centres in which a customer has a limit.
+func runQuotaSite(t *testing.T, limit wagquota.Limit, f func(is *is.I, s *site)) {
+	t.Helper()
+	runSite(t, 3, []string{"a", "b", "c"}, func(s *site) {
+		for _, h := range s.hosts {
+			h.setCustomers(limit)
+		}
+		sleep(5 * time.Second)
+		f(is.New(t), s)
+	})
+}
+
+func (h *host) setCustomers(limit wagquota.Limit) {
+	h.owner.SetCustomers(wagquota.Limits{hotCustomer: limit}, []string{testService})
+}
+
+// placeHot sends requests of the customer at all hosts in turn, one each 2 ms, and returns
+// how many are granted and how many are refused because of the quota.
+func (s *site) placeHot(d time.Duration) (granted, quota, other int) {
+	for i, until := 0, time.Now().Add(d); time.Now().Before(until); i++ {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		now := time.Now()
+		x := s.hosts[i%len(s.hosts)].mesh.Place(ctx, testService, wagplacement.Request{
+			Route: "status", Goal: now.Add(250 * time.Millisecond), Deadline: now.Add(time.Second), Customer: hotCustomer,
+		})
+		cancel()
+		switch x := x.(type) {
+		case wagowner.Granted:
+			granted++
+			x.Finish(wagplacement.Result{})
+		case wagowner.Refused:
+			if x.Reason == wagplacement.ReasonQuota {
+				quota++
+			} else {
+				other++
+			}
+		}
+		sleep(2 * time.Millisecond)
+	}
+	return granted, quota, other
+}
+
+// coordinatorHost returns the host that all hosts take for the coordinator.
+func (s *site) coordinatorHost(is *is.I) *host {
+	s.t.Helper()
+	first, _ := s.hosts[0].mesh.QuotaCoordinator(0)
+	var found *host
+	for _, h := range s.hosts {
+		id, isSelf := h.mesh.QuotaCoordinator(0)
+		is.Equal(id, first)
+		if isSelf {
+			found = h
+		}
+	}
+	is.True(found != nil)
+	return found
+}
+
+// Guards against a customer that sends more than its limit at several hosts, and against
+// refusals of one that sends less.
+func TestQuotaOverAllHosts(t *testing.T) {
+	runQuotaSite(t, wagquota.Limit{Rate: 40, Burst: 20}, func(is *is.I, s *site) {
+		s.coordinatorHost(is)
+		granted, quota, other := s.placeHot(5 * time.Second)
+		t.Logf("over the limit: %d granted, %d refused", granted, quota)
+		is.Equal(other, 0)
+		is.True(quota > 0)
+		is.True(granted >= 200 && granted <= (40*5+20)*11/10+20)
+	})
+	runQuotaSite(t, wagquota.Limit{Rate: 1000, Burst: 500}, func(is *is.I, s *site) {
+		granted, quota, other := s.placeHot(5 * time.Second)
+		t.Logf("below the limit: %d granted, %d refused", granted, quota)
+		is.Equal(other, 0)
+		is.True(quota*100 <= granted)
+	})
+}
+
+// Guards against a limit that is lost, or exceeded, when the coordinator ends or stops to
+// answer, or when hosts are cut off from other data centres.
+func TestQuotaWithoutCoordinator(t *testing.T) {
+	for name, fail := range map[string]func(s *site, coordinator *host){
+		"stopped": func(s *site, coordinator *host) {
+			coordinator.stop()
+			s.remove(coordinator)
+		},
+		"silent":    func(s *site, coordinator *host) { s.setSilent(coordinator, true) },
+		"suspended": func(s *site, coordinator *host) { s.setSuspended(coordinator, true) },
+		"isolated":  func(s *site, coordinator *host) { s.setIsolated(coordinator, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runQuotaSite(t, wagquota.Limit{Rate: 40, Burst: 20}, func(is *is.I, s *site) {
+				coordinator := s.coordinatorHost(is)
+				fail(s, coordinator)
+				if name == "silent" || name == "suspended" {
+					s.remove(coordinator) // callers get no answer from it
+					defer func() { s.hosts = append(s.hosts, coordinator) }()
+				}
+				granted, quota, other := s.placeHot(5 * time.Second)
+				t.Logf("first 5 s: %d granted, %d refused, %d otherwise", granted, quota, other)
+				is.True(granted <= (40*5+20)*11/10+20)
+				granted, quota, other = s.placeHot(5 * time.Second)
+				t.Logf("next 5 s: %d granted, %d refused, %d otherwise", granted, quota, other)
+				is.True(granted >= 100 && granted <= (40*5+20)*11/10+20)
+			})
+		})
+	}
+}
+
+// Guards against messages for sites whose customers have no limit.
+func TestNoQuotaMessagesWithoutLimits(t *testing.T) {
+	runSite(t, 2, []string{"a", "b"}, func(s *site) {
+		is := is.New(t)
+		for _, h := range s.hosts {
+			h.owner.SetCustomers(nil, []string{testService})
+		}
+		sleep(2 * time.Second)
+		_, quota, _ := s.placeHot(time.Second)
+		is.Equal(quota, 0)
+		for _, h := range s.hosts {
+			is.Equal(h.owner.QuotaStats(), wagowner.QuotaStats{})
+		}
+	})
+}
+
+// Guards against a field of a report or a reply that gets lost on the wire.
+func TestQuotaMessages(t *testing.T) {
+	is := is.New(t)
+	report := wagquota.Report{Part: "lots/a", Sender: "a0/7", Number: 3, IsOwner: true, Echo: 5, Charges: []wagquota.Charge{
+		{Customer: hotCustomer, Total: 9, Acknowledged: 7, Demand: 4, Left: 2, Waiting: 1},
+	}}
+	message := chargeMessage(2, "lots", "a", report)
+	is.Equal(reportFromMessage(message, "a0/7"), report)
+	is.Equal(message.GetShard(), uint32(2))
+	reply := wagquota.Reply{Number: 3, Stamp: 12, Acks: []wagquota.Ack{{Customer: hotCustomer, Total: 9, Credit: 6, OutFor: 20 * time.Millisecond}}}
+	is.Equal(replyFromMessage(ackMessage(message, reply)), reply)
+	t.Logf("a report of one customer takes %d bytes, its reply %d", proto.Size(message), proto.Size(ackMessage(message, reply)))
+}
--- a/wagowner/quota_test.go
+++ b/wagowner/quota_test.go
@@ -109,14 +109,14 @@
 // Guards against charges for requests that got no server: their credit can be used again.
 func TestCreditOfRefusedRequests(t *testing.T) {
 	runQuotaOwner(t, nil, func(is *is.I, o *Owner) {
-		o.SetCustomers(wagquota.Limits{"hot": {Rate: 5, Burst: 5}}, []string{"lots", "none"})
+		o.SetCustomers(wagquota.Limits{"hot": {Rate: 5, Burst: 5}}, []string{"lots"})
 		time.Sleep(2 * time.Second) //nolint:forbidigo // The time of a bubble passes at once.
 		for range 20 {
 			r := request()
-			r.Customer = "hot"
-			x, ok := o.Place(context.Background(), "none", r).(Refused)
+			r.Customer, r.Goal, r.Deadline = "hot", time.Now(), time.Now()
+			x, ok := o.Place(context.Background(), "lots", r).(Refused)
 			is.True(ok)
-			is.True(x.Reason != wagplacement.ReasonQuota) // the service has no server
+			is.True(x.Reason != wagplacement.ReasonQuota) // its deadline has passed
 		}
 		granted, _, _ := placeFor(o, 5, nil)
 		is.Equal(granted, 5)
--- a/wagroster/coordinator.go
+++ b/wagroster/coordinator.go
@@ -2,22 +2,19 @@
 
 import "strconv"
 
-// Coordinator returns the quota coordinator of a shard of the customers. All hosts of the
-// site with enough processor time can have the role, so that one bucket serves the site.
+// Coordinator returns the quota coordinator of a shard of the customers, which is one of
+// the relays. Hosts know the relays of all data centres, but not all hosts of others, so
+// that only among relays do they select the same one.
 func (r *Roster) Coordinator(shard int) Member {
-	maxCores := r.self.MilliCores
-	var list []Member
-	if !r.self.Leaving {
-		list = append(list, r.self)
-	}
-	for _, e := range r.members {
-		if !e.Leaving && e.failures == 0 {
-			list = append(list, e.Member)
-			maxCores = max(maxCores, e.MilliCores)
+	maxCores := 0
+	var relays, candidates []Member
+	for _, dataCentre := range r.DataCentres() {
+		if m, ok := r.Relay(dataCentre); ok {
+			relays = append(relays, m)
+			maxCores = max(maxCores, m.MilliCores)
 		}
 	}
-	candidates := list[:0]
-	for _, m := range list {
+	for _, m := range relays {
 		if float64(m.MilliCores) >= minCoreShare*float64(maxCores) {
 			candidates = append(candidates, m)
 		}
