--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -351,6 +351,8 @@
 		return *q.fallback
 	case q.mayHaveRun:
 		return response{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: string(refused.Reason)}
+	case refused.Reason == wagplacement.ReasonQuota:
+		return response{status: http.StatusTooManyRequests, outcome: OutcomeRefused, reason: string(refused.Reason), retryAt: refused.RetryAt}
 	default:
 		return response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: string(refused.Reason), retryAt: refused.RetryAt}
 	}
--- a/waghost/quota.go
+++ b/waghost/quota.go
@@ -21,6 +21,7 @@
 	if s.settings.Limits.Quota.Window <= 0 {
 		return
 	}
+	s.metrics.RegisterGauge("site_quota_parts_alone", "Parts of quotas that this host spends by itself, because the coordinator does not answer.", func() float64 { return float64(s.owner.QuotaStats().PartsAlone) })
 	s.metrics.RegisterCounter("site_quota_admitted_total", "Requests of limited customers that this host admitted as an owner.", func() float64 { return float64(s.owner.QuotaStats().Admitted) })
 	s.metrics.RegisterCounter("site_quota_waited_total", "Requests that waited for credit of their customer.", func() float64 { return float64(s.owner.QuotaStats().Waited) })
 	s.metrics.RegisterCounter("site_quota_refused_total", "Requests beyond the quota of their customer.", func() float64 { return float64(s.owner.QuotaStats().Refused) })
--- a/wagmesh/quota.go
+++ b/wagmesh/quota.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagquota"
 	"github.com/wagtailspar/wagtailspar/wagroster"
@@ -31,8 +33,12 @@
 	now := m.clock.Now()
 	c, ok := m.quotaCoordinators[shard]
 	if !ok || !now.Before(c.until) {
+		former := c.member.Name
 		c = quotaCoordinator{member: m.roster.Coordinator(shard), until: now.Add(quotaCoordinatorTTL)}
 		m.quotaCoordinators[shard] = c
+		if c.member.Name != former {
+			m.log.WithFields(logrus.Fields{"shard": shard, "coordinator": c.member.Name, "former": former}).Info("the quota coordinator has changed")
+		}
 	}
 	return c.member
 }
--- a/wagmesh/quota_test.go
+++ b/wagmesh/quota_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -152,3 +155,62 @@
 	is.Equal(replyFromMessage(ackMessage(message, reply)), reply)
 	t.Logf("a report of one customer takes %d bytes, its reply %d", proto.Size(message), proto.Size(ackMessage(message, reply)))
 }
+
+// Guards against messages between data centres for each request: 840 requests a second of
+// 81 customers over 6 parts.
+func TestQuotaTraffic(t *testing.T) {
+	measure := func(limits wagquota.Limits) (bytes int, reports uint64) {
+		runSite(t, 2, []string{"a", "b", "c"}, func(s *site) {
+			services := []string{testService, "other"}
+			for _, h := range s.hosts {
+				list := testServers()
+				for _, instance := range testServers() {
+					instance.ID, instance.Service = instance.ID+"other", "other"
+					list = append(list, instance)
+				}
+				h.owner.SetServers(list)
+				h.mesh.SetServices(services)
+				h.owner.SetCustomers(limits, services)
+			}
+			sleep(3 * time.Second)
+			sum := func() (bytes int, reports uint64) {
+				s.network.mu.Lock()
+				for pair, n := range s.network.bytes {
+					if pair[0].As4()[1] != pair[1].As4()[1] {
+						bytes += n
+					}
+				}
+				s.network.mu.Unlock()
+				for _, h := range s.hosts {
+					reports += h.owner.QuotaStats().ReportsSent
+				}
+				return bytes, reports
+			}
+			bytesBefore, reportsBefore := sum()
+			random := rand.New(rand.NewPCG(1, 1))
+			for began := time.Now(); time.Since(began) < 10*time.Second; {
+				now, customer := time.Now(), fmt.Sprint("customer", int(math.Pow(81, random.Float64()))-1)
+				x := s.hosts[random.IntN(len(s.hosts))].mesh.Place(context.Background(), services[random.IntN(2)], wagplacement.Request{
+					Route: "status", Goal: now.Add(250 * time.Millisecond), Deadline: now.Add(time.Second), Customer: customer,
+				})
+				if g, ok := x.(wagowner.Granted); ok {
+					g.Finish(wagplacement.Result{})
+				}
+				sleep(time.Second / 840)
+			}
+			bytes, reports = sum()
+			bytes, reports = bytes-bytesBefore, reports-reportsBefore
+		})
+		return bytes, reports
+	}
+	limits := make(wagquota.Limits)
+	for i := range 81 {
+		limits[fmt.Sprint("customer", i)] = wagquota.Limit{Rate: 1000, Burst: 1000}
+	}
+	with, reports := measure(limits)
+	without, _ := measure(nil)
+	t.Logf("10 s: %d reports between hosts, %d bytes between data centres for quotas, %d without", reports, with-without, without)
+	if reports > 8400 {
+		t.Errorf("%d reports for 8400 requests", reports)
+	}
+}
--- a/wagquota/fixture_test.go
+++ b/wagquota/fixture_test.go
@@ -61,6 +61,10 @@
 	maxDelay     time.Duration
 	// rates holds the demand of each customer in requests per second.
 	rates map[string]float64
+	// factor multiplies the demand at a time since the start, and parts in focus take all of
+	// it; nil for 1 and all parts.
+	factor func(time.Duration) float64
+	focus  []int
 	// admitted holds the times of the admitted requests, by customer.
 	admitted          map[string][]time.Time
 	refused, demanded int
@@ -121,9 +125,12 @@
 		}
 		s.deliver()
 		for _, name := range names {
-			for n := s.poisson(s.rates[name] * simStep.Seconds()); n > 0; n-- {
-				// Parts differ in demand.
-				s.take(s.parts[min(s.random.IntN(simParts), s.random.IntN(simParts))], name)
+			rate := s.rates[name]
+			if s.factor != nil {
+				rate *= s.factor(s.elapsed())
+			}
+			for n := s.poisson(rate * simStep.Seconds()); n > 0; n-- {
+				s.take(s.pickPart(), name)
 			}
 		}
 		for _, p := range s.parts {
@@ -133,6 +140,14 @@
 	}
 }
 
+// pickPart returns a part of those in focus. Without focus, parts differ in demand.
+func (s *simulation) pickPart() *simPart {
+	if s.focus != nil {
+		return s.parts[s.focus[s.random.IntN(len(s.focus))]]
+	}
+	return s.parts[min(s.random.IntN(simParts), s.random.IntN(simParts))]
+}
+
 func (s *simulation) poisson(mean float64) (n int) {
 	for x := s.random.ExpFloat64(); x < mean; x += s.random.ExpFloat64() {
 		n++
--- a/wagquota/part.go
+++ b/wagquota/part.go
@@ -34,22 +34,9 @@
 	totalBase uint64
 }
 
-// customer is the state of a customer at a part.
-type customer struct {
-	total, acknowledged uint64
-	demand, waiting     int
-	// lots holds the credit, the earliest first.
-	lots     []lot
-	outUntil time.Time
-	alone    bucket
-	dirty    bool
-}
-
-// lot is credit that may be spent until a time.
-type lot struct {
-	count int
-	until time.Time
-}
+// silenceMemory is how long a host that acts for an owner remembers, without requests, that
+// the coordinator does not answer.
+const silenceMemory = 10 * time.Second
 
 // maxUnanswered bounds the reports without a reply whose time is kept.
 const maxUnanswered = 128
@@ -107,11 +94,12 @@
 	clear(p.sent)
 }
 
-// isAlone reports whether the part spends its share by itself.
-func (p *Part) isAlone(now time.Time) bool {
+// IsAlone reports whether the part spends its share by itself, because its coordinator does
+// not answer.
+func (p *Part) IsAlone(now time.Time) bool {
 	alone := !now.Before(p.leaseUntil)
 	if !p.isOwner {
-		alone = !p.unanswered.IsZero() && now.Sub(p.unanswered) >= LeaseTime
+		alone = !p.unanswered.IsZero() && now.Sub(p.unanswered) >= LeaseTime && now.Sub(p.lastFlush) < silenceMemory
 	}
 	switch {
 	case !alone:
@@ -167,7 +155,7 @@
 	if until, ok := c.spend(now); ok {
 		return Admit{ReturnUntil: until}
 	}
-	if p.isAlone(now) {
+	if p.IsAlone(now) {
 		return p.decideAlone(now, c, limit)
 	}
 	if now.Before(c.outUntil) {
@@ -200,32 +188,6 @@
 	return Admit{}
 }
 
-// spend spends the credit that expires first. It returns when that expires.
-func (c *customer) spend(now time.Time) (until time.Time, ok bool) {
-	for len(c.lots) > 0 && !now.Before(c.lots[0].until) {
-		c.lots = c.lots[1:]
-	}
-	if len(c.lots) == 0 {
-		return time.Time{}, false
-	}
-	until = c.lots[0].until
-	if c.lots[0].count--; c.lots[0].count == 0 {
-		c.lots = c.lots[1:]
-	}
-	return until, true
-}
-
-// add adds credit that may be spent until a time.
-func (c *customer) add(count int, until time.Time) {
-	i := len(c.lots)
-	for i > 0 && until.Before(c.lots[i-1].until) {
-		i--
-	}
-	c.lots = append(c.lots, lot{})
-	copy(c.lots[i+1:], c.lots[i:])
-	c.lots[i] = lot{count, until}
-}
-
 // Return gives back a request that was admitted and not sent. What was admitted longer
 // than CreditLifetime ago is not given back.
 func (p *Part) Return(now time.Time, name string, a Admit) {
@@ -296,7 +258,7 @@
 		}
 	}
 	p.sent[p.number] = now
-	if p.unanswered.IsZero() {
+	if p.unanswered.IsZero() || now.Sub(p.lastFlush) >= silenceMemory {
 		p.unanswered = now
 	}
 	p.lastFlush, p.dirty = now, false
--- a/wagquota/wagquota_test.go
+++ b/wagquota/wagquota_test.go
@@ -87,29 +87,55 @@
 	}
 }
 
+// quietUntil returns a factor of the demand that is low until a time. The buckets are full
+// then.
+func quietUntil(at time.Duration) func(time.Duration) float64 {
+	return func(elapsed time.Duration) float64 {
+		if elapsed < at {
+			return 0.05
+		}
+		return 1
+	}
+}
+
 // Guards against more requests of hot customers than permitted in any window, while a
 // planned change and a failure follow each other at different distances, or two failures.
+// The demand is high all the time, or begins with full buckets, at all parts or at those
+// that keep or change their coordinator.
 func TestBoundWithFaults(t *testing.T) {
+	const begin = 8 * time.Second
+	variants := []struct {
+		distance time.Duration
+		factor   func(time.Duration) float64
+		focus    []int
+	}{
+		{0, nil, nil},
+		{100 * time.Millisecond, quietUntil(begin - 4*time.Second), []int{0, 1, 2}},
+		{700 * time.Millisecond, quietUntil(begin + 2*time.Second), nil},
+		{2500 * time.Millisecond, quietUntil(begin - 4*time.Second), []int{3, 4, 5}},
+		{1500 * time.Millisecond, quietUntil(begin - time.Second), nil},
+	}
 	for _, first := range faults() {
 		for _, second := range faults() {
 			if second.planned && second.name != "none" && first.planned {
 				continue
 			}
 			t.Run(first.name+"/"+second.name, func(t *testing.T) {
-				for i, distance := range []time.Duration{0, 100 * time.Millisecond, 700 * time.Millisecond, 2500 * time.Millisecond} {
+				for i, v := range variants {
 					limits, rates := hotLimits()
 					s := newSimulation(t, uint64(i), limits, rates)
+					s.factor, s.focus = v.factor, v.focus
 					events := make(map[time.Duration][]func())
-					begin := func(at, lasting time.Duration, f fault) {
+					plan := func(at, lasting time.Duration, f fault) {
 						events[at] = append(events[at], func() {
 							if end := f.begin(s); end != nil {
 								events[s.elapsed()+lasting] = append(events[s.elapsed()+lasting], end)
 							}
 						})
 					}
-					begin(8*time.Second, 3*time.Second, first)
-					begin(8*time.Second+distance, 1500*time.Millisecond, second)
-					s.run(20*time.Second, events)
+					plan(begin, 3*time.Second, first)
+					plan(begin+v.distance, 1500*time.Millisecond, second)
+					s.run(18*time.Second, events)
 					s.checkBound(0)
 				}
 			})
