wagload: Add the pattern coldReturn

No pattern showed what a data centre full of cold servers does to callers when the bound on them is broken. All servers of coldReturn are down for 2 s, start again and are cold for 3 s; a server above the bound crashes.

--- a/wagload/pattern.go
+++ b/wagload/pattern.go
@@ -54,6 +54,9 @@
 	Silent bool
 	// Down is set if the servers accept no connections.
 	Down bool
+	// ColdStart is set if the servers start at From and are cold at first. Servers that get
+	// too many requests while they are cold crash. The baselines know nothing of it.
+	ColdStart bool
 }
 
 // isActive reports whether the phase is active at a time after the start of the run.
@@ -130,6 +133,11 @@
 		{"failing", []Phase{{From: 8 * time.Second, Until: 20 * time.Second, AffectedServers: servers, ErrorShare: 0.05}}},
 		{"silent", []Phase{{From: 8 * time.Second, Until: 14 * time.Second, AffectedServers: two, Silent: true}}},
 		{"down", []Phase{{From: 8 * time.Second, Until: 14 * time.Second, AffectedServers: two, Down: true}}},
+		// All servers return after a power failure or an evacuation of the data centre.
+		{"coldReturn", []Phase{
+			{From: 8 * time.Second, Until: 10 * time.Second, AffectedServers: servers, Down: true},
+			{From: 10 * time.Second, Until: 10*time.Second + coldDuration, AffectedServers: servers, ColdStart: true},
+		}},
 		{"slowAtCrest", []Phase{
 			{From: 8 * time.Second, Until: 16 * time.Second, DemandFactor: 2.5},
 			{From: 9 * time.Second, Until: 14 * time.Second, AffectedServers: two, ServiceTimeFactor: 5},
--- a/wagload/placement.go
+++ b/wagload/placement.go
@@ -2,12 +2,10 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/wagtailspar/wagtailspar/wagplacement"
-	"github.com/wagtailspar/wagtailspar/wagserver"
 )
 
 const (
@@ -44,14 +42,10 @@
 		opts = append(opts, wagplacement.WithoutMechanism(m))
 	}
 	p := &placementPolicy{run: x, scheduler: wagplacement.New(opts...), placed: make(map[wagplacement.RequestID]*placedRequest)}
-	var list []wagserver.Instance
-	for _, s := range x.servers {
-		list = append(list, wagserver.Instance{
-			ID: serverID(s.number), Service: "service", DataCentre: "a", Slots: x.pattern.Slots, State: wagserver.Live,
-			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(s.number)}), 80),
-		})
+	if x.pattern.hasColdStarts() {
+		p.scheduler.SetColdRate(wagplacement.ShareColdBound(coldRate, coldOverage, coldSlack))
 	}
-	p.scheduler.SetServers(start, list)
+	p.listServers()
 	return p
 }
 
@@ -208,7 +202,7 @@
 		case s.isSilent():
 			p.ScheduleAt(x.Deadline, func() { answer(wagplacement.Result{Fault: wagplacement.FaultTimeout}) })
 		default:
-			r := wagplacement.Result{HasReport: true, Report: s.report()}
+			r := wagplacement.Result{HasReport: true, Report: s.report(), ColdUntil: s.cold.coldUntil}
 			p.ScheduleAfter(linkDelay, func() { answer(r) })
 		}
 	})
--- a/wagload/result.go
+++ b/wagload/result.go
@@ -13,6 +13,8 @@
 	Overall, WorstWindows, WorstRoute float64
 	// Served is the share of requests that were answered before their deadline.
 	Served float64
+	// Crashes counts the crashes of cold servers that got too many requests.
+	Crashes int
 }
 
 // Weights that the users give to the parts of a result.
@@ -66,6 +68,9 @@
 	for _, s := range routes {
 		r.WorstRoute = min(r.WorstRoute, s.value())
 	}
+	for _, s := range x.servers {
+		r.Crashes += s.cold.crashes
+	}
 	var values []float64
 	for _, s := range windows {
 		values = append(values, s.value())
--- a/wagload/server.go
+++ b/wagload/server.go
@@ -31,6 +31,7 @@
 	slow    bool
 	running []*attempt
 	waiting []*attempt
+	cold    coldState
 }
 
 // attempt is one sending of a request to a server.
@@ -98,7 +99,9 @@
 	return nil
 }
 
-func (s *server) isDown() bool { return s.activePhase(func(p *Phase) bool { return p.Down }) != nil }
+func (s *server) isDown() bool {
+	return s.cold.downUntil.After(s.run.Now()) || s.activePhase(func(p *Phase) bool { return p.Down }) != nil
+}
 func (s *server) isSilent() bool {
 	return s.activePhase(func(p *Phase) bool { return p.Silent }) != nil
 }
@@ -176,6 +179,7 @@
 			a.done(attemptTimeout)
 		}
 	})
+	s.recordArrival()
 	switch {
 	case s.isDown():
 		a.deliver(attemptUnreachable)
--- a/wagload/wagload.go
+++ b/wagload/wagload.go
@@ -109,6 +109,7 @@
 	default:
 		return r, errors.Errorf("unknown policy %q (allowed: %s)", c.Policy, strings.Join(Policies(), ", "))
 	}
+	x.scheduleColdStarts()
 	for n := range c.Pattern.Routes {
 		x.scheduleArrivals(&c.Pattern.Routes[n])
 	}
