wagplacement: Probe a server first that returns with requests in work

A server that is taken off the list keeps its state while it finishes a request. When it returned, a late request went to it without a probe, although it may have become cold meanwhile. It now counts as not probed, as a new one does.

--- a/wagplacement/cold_test.go
+++ b/wagplacement/cold_test.go
@@ -134,6 +134,21 @@
 	require.Len(t, g.granted, 2)
 }
 
+func TestReturningServerWithRequestsIsProbedFirst(t *testing.T) {
+	t.Parallel()
+	// Guards against the same for a server that still finishes a request when it returns.
+	g := newGroup(1, 8)
+	g.scheduler.SetColdRate(testColdRate, testColdSlack)
+	g.submit(nil)
+	require.Len(t, g.granted, 1)
+	g.scheduler.SetServers(g.now, nil)
+	g.advance(time.Second)
+	g.scheduler.SetServers(g.now, instances(1, 8))
+	g.silent["s0"] = true
+	g.submit(func(r *Request) { r.Goal = g.now })
+	require.Len(t, g.granted, 1)
+}
+
 func TestHostAloneSparesColdServers(t *testing.T) {
 	t.Parallel()
 	alone := func(r *Request) { r.OwnerUnreachable = true }
--- a/wagplacement/scheduler.go
+++ b/wagplacement/scheduler.go
@@ -226,17 +226,24 @@
 		s, ok := sc.servers[instance.ID]
 		if !ok || !s.Started.Equal(instance.Started) || s.Address != instance.Address {
 			s = &server{probeLimiter: rate.NewLimiter(rate.Limit(sc.probeRate), max(int(sc.probeRate*probeBurstWindow.Seconds()), 1)), withoutReports: sc.serviceWithoutReports(), disabled: sc.disabled}
-			s.cold.listedAt = now
 			sc.servers[instance.ID] = s
 		}
+		if s.cold.listedAt.IsZero() {
+			s.cold.listedAt = now
+		}
 		if !instance.ColdUntil.Equal(s.ColdUntil) {
 			s.cold.setFromEntry(now, instance.ColdUntil)
 		}
 		s.Instance, s.listed = instance, true
 	}
 	for id, s := range sc.servers {
-		if !s.listed && s.running == 0 {
+		switch {
+		case s.listed:
+		case s.running == 0:
 			delete(sc.servers, id)
+		default:
+			// It may become cold until it is listed again.
+			s.cold.listedAt, s.cold.isConfirmed = time.Time{}, false
 		}
 	}
 	sc.sortServers()
