waghost: End TestProbeWithoutConnection when its check fails

The test hung instead of failing: closing the server waits for its handler, which waits for a channel that is closed only after the check. It is closed first now.

--- a/waghost/limits_test.go
+++ b/waghost/limits_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -41,12 +42,14 @@
 	is.NoErr(err)
 	s.gateway.SetConfig(config)
 	hold, received := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(hold) })
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Request-Id", "r1")
 		received <- struct{}{}
 		<-hold
 	}))
 	defer server.Close()
+	defer release() // Close waits for the handler, also when a check fails
 	address := netip.MustParseAddrPort(server.Listener.Addr().String())
 	s.upstream = wagupstream.NewPool("Request-Id", wagupstream.WithMaxConnections(1))
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -60,6 +63,6 @@
 	})
 	<-received
 	is.Equal(p.Probe(ctx, instance), wagplacement.Result{Fault: wagplacement.FaultCanceled})
-	close(hold)
+	release()
 	is.NoErr(g.Wait())
 }
