waggateway: Answer requests that run ahead when memory is short

Callers got 503 for a pipelined request that a server had run already, although 503 says that it has not run. Their connection could also be closed for others while a server worked on the request.

Cause: net/http reads the head of such a request at its turn, and the head was charged a second time; without memory it was refused. After the response before it, the connection counted as idle and then as receiving, so that it could be evicted.

The head of a request that runs ahead is complete and reserved when it starts. It is not charged again, and the connection stays Busy.

--- a/waggateway/usage.go
+++ b/waggateway/usage.go
@@ -129,7 +129,9 @@
 func (c *callerConn) countHead(p []byte) RefusalCause {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.activity != receiving {
+	if c.activity != receiving || c.isNextAhead() {
+		// The head of a request that runs ahead is complete and its memory reserved. It must
+		// not be refused: a server may have run the request.
 		return ""
 	}
 	if c.counter.bytes == 0 {
@@ -176,9 +178,15 @@
 	c.activity, c.counter = receiving, headCounter{}
 	c.release(c.headCost)
 	c.headCost = 0
-	c.gateway.callers.budget.SetPhase(c.id, wagbudget.Idle)
+	if !c.isNextAhead() { // otherwise the connection stays Busy
+		c.gateway.callers.budget.SetPhase(c.id, wagbudget.Idle)
+	}
 }
 
+// isNextAhead reports whether the next request whose handler is called runs ahead; c.mu
+// is held.
+func (c *callerConn) isNextAhead() bool { return c.ahead[c.begun+1] != nil }
+
 func (c *callerConn) setActivity(a activity) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
