waggateway: Let a head that has begun have its own timeout

Callers lost their connection without a response although each of their waits was inside its limit: a first head that began after four fifths of headerTimeoutMs, or a head on a connection that had been idle for four fifths of idleTimeoutMs, and that took less than headerTimeoutMs.

Cause: net/http reports a connection as new or idle until a head is complete, and closeUnused ended it by the time since it was accepted or became idle. It passes over connections on which a head has begun; endStalled bounds those from the first byte. TestHeadBeginsLateOnAConnection failed before (unexpected EOF, both cases).

--- a/waggateway/connections.go
+++ b/waggateway/connections.go
@@ -49,6 +49,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, tracked := range c.conns {
+		if caller, ok := conn.(*callerConn); ok && caller.isReceivingHead() {
+			continue // the head has a timeout of its own, from its first byte
+		}
 		if tracked.state == http.StateNew && tracked.since.Before(newBefore) || tracked.state == http.StateIdle && tracked.since.Before(idleBefore) {
 			tracked.closing = true
 			c.conns[conn] = tracked
--- a/waggateway/usage.go
+++ b/waggateway/usage.go
@@ -163,6 +163,13 @@
 	}
 }
 
+// isReceivingHead reports whether a part of a head has been received.
+func (c *callerConn) isReceivingHead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.activity == receiving && c.counter.bytes > 0
+}
+
 // isHeadExpired reports whether a read failed because a head was not complete in time.
 // net/http would respond with 400.
 func (c *callerConn) isHeadExpired(err error) bool {
