waggateway: Take what a caller acknowledges for progress of a write

Callers that read a long response slowly but steadily were cut off (32 KB every half of idleTimeoutMs in the test).

Cause: progress was counted by completed writes of 16 KB, but the kernel lets a blocked write go on only after a third of its buffer has been acknowledged. That grows to megabytes, which a slow caller does not read within idleTimeoutMs.

The number of unacknowledged bytes is compared as well; it is read only for connections with a write in progress. A caller that reads nothing is ended as before (TestUnreadResponsesEnd). TestSlowReadersAreServed failed before (one writeTimeout).

--- a/waggateway/stalled.go
+++ b/waggateway/stalled.go
@@ -1,6 +1,11 @@
 package waggateway
 
-import "time"
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
 
 // progressMark is what has to change on a connection within a timeout.
 type progressMark struct {
@@ -11,6 +16,9 @@
 	// progress is 0 while a head is received: it has to be complete within its timeout
 	// however many bytes arrive.
 	progress uint64
+	// unacknowledged is the number of written bytes that the caller has not acknowledged;
+	// 0 unless writing is set.
+	unacknowledged int
 }
 
 // endStalled ends heads, bodies and writes that take too long. It compares with what the
@@ -34,6 +42,9 @@
 	if c.activity != receiving {
 		m.progress = c.progress.Load()
 	}
+	if m.writing {
+		m.unacknowledged = c.unacknowledgedBytes()
+	}
 	if m != c.mark || c.markedAt.IsZero() {
 		c.mark, c.markedAt = m, now
 	}
@@ -61,3 +72,24 @@
 	}
 	_ = c.setReadDeadline(pastDeadline) // fails only on a closed connection
 }
+
+// unacknowledgedBytes returns how many written bytes the caller has not acknowledged, or 0
+// if that is not known. The kernel lets a blocked write go on only after a third of its
+// buffer, which may be megabytes, has been acknowledged, so that writes alone do not show
+// the progress of a slow caller.
+func (c *callerConn) unacknowledgedBytes() (n int) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	if err != nil || ioctlErr != nil {
+		return 0
+	}
+	return n
+}
