waggateway: Lift the deadline of a body that is complete

A request could be canceled after it was sent to a server, because its last byte arrived at the check that ended reads of its body: the read deadline stayed in the past, and net/http takes a failed read during the handler for a caller that has left. A head that timed out after that was closed without 408, because the earlier cause was kept. Found by reading the code.

The deadline is lifted when the body was read without an error, as is done for heads, and the cause ends with the request.

--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -236,10 +236,12 @@
 	conn := callerConnOf(q.incoming)
 	if conn != nil && q.incoming.ContentLength != 0 {
 		conn.beginBody(q.deadline)
-		defer conn.setActivity(handling)
 	}
 	source := http.MaxBytesReader(nil, q.incoming.Body, limit)
 	body, complete, err := wagupstream.ReadUpTo(source, q.incoming.ContentLength, keep, nil)
+	if conn != nil && q.incoming.ContentLength != 0 {
+		conn.endBody(err)
+	}
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
--- a/waggateway/usage.go
+++ b/waggateway/usage.go
@@ -152,15 +152,20 @@
 func (c *callerConn) endHead() {
 	c.activity, c.counter = handling, headCounter{}
 	c.gateway.callers.budget.SetPhase(c.id, wagbudget.Busy)
-	if c.expired != "" {
-		// The head was complete before the deadline took effect. The call fails only on a
-		// closed connection.
-		c.expired = ""
-		if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
-			c.readErr = nil
-		}
-		_ = c.setReadDeadline(time.Time{})
+	c.liftExpiry()
+}
+
+// liftExpiry lifts the deadline of a head or a body that was complete before the deadline
+// took effect; c.mu is held.
+func (c *callerConn) liftExpiry() {
+	if c.expired == "" {
+		return
+	}
+	c.expired = ""
+	if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
+		c.readErr = nil
 	}
+	_ = c.setReadDeadline(time.Time{}) // fails only on a closed connection
 }
 
 // isReceivingHead reports whether a part of a head has been received.
@@ -182,7 +187,7 @@
 func (c *callerConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.activity, c.counter = receiving, headCounter{}
+	c.activity, c.counter, c.expired = receiving, headCounter{}, ""
 	c.release(c.headCost)
 	c.headCost = 0
 	if !c.isNextAhead() { // otherwise the connection stays Busy
@@ -207,6 +212,18 @@
 	c.activity, c.bodyUntil = readingBody, until
 }
 
+// endBody records that the body, or the beginning that is kept, has been read, and the
+// error of its last read. Without an error, a deadline that was set meanwhile is lifted:
+// net/http would take it for the end of the connection and cancel the request.
+func (c *callerConn) endBody(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activity = handling
+	if err == nil {
+		c.liftExpiry()
+	}
+}
+
 // reserve reserves memory and closes the connections that are evicted for it. It may be
 // called with c.mu held: closing another connection does not take its mutex.
 func (c *callerConn) reserve(n int64) bool {
