wagplacement: Take canceled attempts only for a lower bound of the hold time

A canceled attempt shows only that its slot would have been held for at least that long. It counts when that is longer than the mean.

--- a/wagplacement/scheduler.go
+++ b/wagplacement/scheduler.go
@@ -122,8 +122,15 @@
 	if r.HasReport {
 		sc.load.recordReport(g.server.report.Slowness >= slowThreshold)
 	}
-	if r.Fault != FaultConnect && r.Fault != FaultRejected && r.Fault != FaultMisdirected {
-		sc.load.recordHoldTime(now.Sub(g.grantedAt))
+	switch held := now.Sub(g.grantedAt); r.Fault {
+	case FaultConnect, FaultRejected, FaultMisdirected:
+	case FaultCanceled:
+		// The request would have held the slot for at least that long, or was not sent.
+		if sc.load.meanHoldTime > 0 && held > sc.load.meanHoldTime {
+			sc.load.recordHoldTime(held)
+		}
+	default:
+		sc.load.recordHoldTime(held)
 	}
 	if r.Fault == FaultNone {
 		sc.updateEstimates(g, r.Latency)
