wagmesh, wagowner: Test quotas without owners and with a data centre cut off

Only the loss of the coordinator was tested over links. Now the owner of each data centre ends or is suspended, and each data centre is cut off and joined again. A test read a count without a lock, which the race detector reported.

--- a/wagmesh/quota_test.go
+++ b/wagmesh/quota_test.go
@@ -126,6 +126,55 @@
 	}
 }
 
+// Guards against a limit that is lost or exceeded when the owner of a server group ends or
+// stops to answer, and when a data centre is cut off from the others.
+func TestQuotaWithoutOwner(t *testing.T) {
+	limit := wagquota.Limit{Rate: 40, Burst: 20}
+	check := func(is *is.I, s *site, least int) {
+		granted, quota, other := s.placeHot(5 * time.Second)
+		s.t.Logf("first 5 s: %d granted, %d refused, %d otherwise", granted, quota, other)
+		is.True(granted <= (40*5+20)*11/10+20)
+		granted, quota, other = s.placeHot(5 * time.Second)
+		s.t.Logf("next 5 s: %d granted, %d refused, %d otherwise", granted, quota, other)
+		is.True(granted >= least && granted <= (40*5+20)*11/10+20)
+	}
+	owner := func(s *site, dataCentre string) *host {
+		m, _ := s.ranked(dataCentre)[0].mesh.roster.Owner(testService, dataCentre)
+		return s.findHost(m.Name)
+	}
+	for _, dataCentre := range []string{"a", "b", "c"} {
+		t.Run("stopped/"+dataCentre, func(t *testing.T) {
+			runQuotaSite(t, limit, func(is *is.I, s *site) {
+				h := owner(s, dataCentre)
+				h.stop()
+				s.remove(h)
+				check(is, s, 150)
+			})
+		})
+		t.Run("suspended/"+dataCentre, func(t *testing.T) {
+			runQuotaSite(t, limit, func(is *is.I, s *site) {
+				h := owner(s, dataCentre)
+				s.setSuspended(h, true)
+				s.remove(h) // callers get no answer from it
+				defer func() { s.hosts = append(s.hosts, h) }()
+				check(is, s, 150)
+			})
+		})
+		t.Run("cutOff/"+dataCentre, func(t *testing.T) {
+			runQuotaSite(t, limit, func(is *is.I, s *site) {
+				for _, h := range s.ranked(dataCentre) {
+					s.setIsolated(h, true)
+				}
+				check(is, s, 100)
+				for _, h := range s.ranked(dataCentre) {
+					s.setIsolated(h, false)
+				}
+				check(is, s, 100)
+			})
+		})
+	}
+}
+
 // Guards against messages for sites whose customers have no limit.
 func TestNoQuotaMessagesWithoutLimits(t *testing.T) {
 	runSite(t, 2, []string{"a", "b"}, func(s *site) {
--- a/wagowner/quota_test.go
+++ b/wagowner/quota_test.go
@@ -14,13 +14,10 @@
 )
 
 // silentLinks reaches a coordinator that never replies.
-type silentLinks struct {
-	localLinks
-	reports int
-}
+type silentLinks struct{ localLinks }
 
-func (l *silentLinks) QuotaCoordinator(int) (string, bool)          { return "other", false }
-func (l *silentLinks) SendQuotaReport(int, string, wagquota.Report) { l.reports++ }
+// QuotaCoordinator returns another host.
+func (silentLinks) QuotaCoordinator(int) (string, bool) { return "other", false }
 
 // runQuotaOwner runs f with an owner of a server and of quotas. A nil links makes it the
 // coordinator as well.
@@ -126,8 +123,7 @@
 // Guards against requests that hang, or exceed the share of this part, while the
 // coordinator does not reply.
 func TestSilentCoordinator(t *testing.T) {
-	links := &silentLinks{}
-	runQuotaOwner(t, links, func(is *is.I, o *Owner) {
+	runQuotaOwner(t, silentLinks{}, func(is *is.I, o *Owner) {
 		o.SetCustomers(wagquota.Limits{"hot": {Rate: 20, Burst: 20}}, []string{"lots", "other"})
 		began := time.Now()
 		debt := wagquota.DebtLimit(20, 2)
@@ -138,14 +134,14 @@
 		time.Sleep(2 * time.Second) //nolint:forbidigo // The time of a bubble passes at once.
 		granted, _, _ = placeFor(o, 500, nil)
 		is.True(granted >= 40 && granted <= 60) // half of the rate for 5 s
-		is.True(links.reports > 0)
+		is.True(o.QuotaStats().ReportsSent > 0)
 	})
 }
 
 // Guards against a caller that leaves while its request waits for credit: the request must
 // not be submitted afterwards.
 func TestCallerLeavesWhileWaitingForCredit(t *testing.T) {
-	runQuotaOwner(t, &silentLinks{}, func(is *is.I, o *Owner) {
+	runQuotaOwner(t, silentLinks{}, func(is *is.I, o *Owner) {
 		o.SetCustomers(wagquota.Limits{"hot": {Rate: 20, Burst: 20}}, []string{"lots"})
 		placeFor(o, wagquota.DebtLimit(20, 1), nil)
 		r := request()
