waggateway: Charge responses to requests that run ahead

A connection could hold up to eight responses of 256 KB each that the memory budget did not count.

Cause: the context of a request that runs ahead did not carry its connection, and without one a response is kept and not charged. TestResponsesAheadAreCharged failed before (the budget held less than the response of 200 KB).

--- a/waggateway/ahead_memory_test.go
+++ b/waggateway/ahead_memory_test.go
@@ -1,6 +1,7 @@
 package waggateway
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -67,3 +68,20 @@
 	is.Equal(budget.Stats().Evicted, uint64(0))
 	_ = c.Close()
 }
+
+// Guards against responses to requests that run ahead that are kept without being charged:
+// eight of them for each connection.
+func TestResponsesAheadAreCharged(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 200<<10)
+	a := newTestServer(t, "a", strings.Replace(responseOK, "Content-Length: 2\r\n\r\nok", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), 1))
+	f := newPipelineFixture(t, a)
+	c := f.callerConn()
+	c.mu.Lock()
+	c.receive([]byte(get("/status/1", "r1") + get("/status/2", "r2")))
+	x := c.ahead[2]
+	c.mu.Unlock()
+	x.await()
+	is.True(f.gateway.BudgetStats().UsedBytes > int64(len(body)))
+	_ = c.Close()
+}
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -443,7 +443,7 @@
 	if route := config.Match(r.Host, routePath(r)); route == nil || !route.Idempotent {
 		return nil
 	}
-	x := g.newExecution(r.WithContext(c.ctx))
+	x := g.newExecution(r.WithContext(connContext(c.ctx, c)))
 	x.ended, x.headCost = make(chan struct{}), p.cost
 	c.tasks.Go(func() error {
 		x.runAhead(g)
