waggateway: Give back what abandoned requests reserved for their responses

Memory for the responses to requests that had run ahead stayed reserved as long as the connection, when the search for requests lost its place: the executions were canceled, but never released. They are released when they have ended. TestAbandonedExecutionsHoldNoMemory failed before.

--- a/waggateway/ahead_memory_test.go
+++ b/waggateway/ahead_memory_test.go
@@ -85,3 +85,24 @@
 	is.True(f.gateway.BudgetStats().UsedBytes > int64(len(body)))
 	_ = c.Close()
 }
+
+// Guards against memory for the response to a request that ran ahead that stays reserved
+// as long as the connection, when the search for requests has lost its place.
+func TestAbandonedExecutionsHoldNoMemory(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 200<<10)
+	a := newTestServer(t, "a", strings.Replace(responseOK, "Content-Length: 2\r\n\r\nok", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), 1))
+	f := newPipelineFixture(t, a)
+	c := f.callerConn()
+	c.mu.Lock()
+	c.receive([]byte(get("/status/1", "r1") + get("/status/2", "r2")))
+	x := c.ahead[2]
+	c.mu.Unlock()
+	x.await()
+	is.True(c.begin(parseHead([]byte(get("/status/1", "r1")))) == nil)
+	reserved := f.gateway.BudgetStats().UsedBytes
+	is.True(reserved > int64(len(body)))
+	is.True(c.begin(parseHead([]byte(get("/status/2", "other")))) == nil)
+	awaitTrue(t, "memory stays reserved", func() bool { return f.gateway.BudgetStats().UsedBytes < reserved-int64(len(body))/2 })
+	_ = c.Close()
+}
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -524,12 +524,12 @@
 		}
 		c.waiting = nil
 		for number, other := range c.ahead {
-			other.cancel()
 			c.release(other.headCost)
 			delete(c.ahead, number)
+			c.abandon(other)
 		}
 		if x != nil {
-			x.cancel()
+			c.abandon(x)
 		}
 		x = nil
 	}
@@ -537,6 +537,16 @@
 	return x
 }
 
+// abandon cancels an execution that belongs to no request, and gives back what is reserved
+// for its response when it has ended.
+func (c *callerConn) abandon(x *execution) {
+	x.cancel()
+	c.tasks.Go(func() error {
+		x.release()
+		return nil
+	})
+}
+
 // end records that a handler returns.
 func (c *callerConn) end() {
 	c.mu.Lock()
