--- a/wagowner/quota.go
+++ b/wagowner/quota.go
@@ -99,7 +99,7 @@
 	defer o.mu.Unlock()
 	q, now := &o.quota, o.clock.Now()
 	q.shards, q.services = nil, services
-	q.partCount = max(len(services)*o.limits.Quota.DataCentres, 1)
+	q.partCount = max(len(services), 1) * max(o.limits.Quota.DataCentres, 1)
 	if len(limits) > 0 {
 		n := wagquota.Shards(len(limits))
 		for range n {
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -140,7 +140,7 @@
 	// requests.
 	Window         time.Duration
 	Overage, Slack float64
-	// DataCentres is the number of data centres of the site.
+	// DataCentres is the number of data centres of the site; 0 counts as 1.
 	DataCentres int
 }
 
