--- a/waggateway/fixture_test.go
+++ b/waggateway/fixture_test.go
@@ -99,7 +99,7 @@
 	conns           []net.Conn
 }
 
-func newTestServer(t *testing.T, name, response string) *testServer {
+func newTestServer(t testing.TB, name, response string) *testServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -249,13 +249,13 @@
 	testCallerTimeout = "5000"
 )
 
-func newFixture(t *testing.T, servers ...*testServer) *fixture {
+func newFixture(t testing.TB, servers ...*testServer) *fixture {
 	t.Helper()
 	return newFixtureWith(t, nil, servers...)
 }
 
 // newFixtureWith returns a gateway with options.
-func newFixtureWith(t *testing.T, opts []Option, servers ...*testServer) *fixture {
+func newFixtureWith(t testing.TB, opts []Option, servers ...*testServer) *fixture {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -277,7 +277,7 @@
 // testHeaderBytes is the limit of the header of a request.
 const testHeaderBytes = 8 << 10
 
-func testConfig(t *testing.T, version wagsite.Version, timeout time.Duration) *wagsite.Config {
+func testConfig(t testing.TB, version wagsite.Version, timeout time.Duration) *wagsite.Config {
 	t.Helper()
 	route := func(name, prefix string, idempotent bool) wagsite.Route {
 		return wagsite.Route{
