wagowner: Charge a request that is placed again once

A request whose grant an evacuation withholds is placed again and was charged to the quota of its customer each time.

--- a/wagowner/quota.go
+++ b/wagowner/quota.go
@@ -145,7 +145,7 @@
 // quotaPartOf returns the part that limits a request, or nil. The caller must hold o.mu.
 func (o *Owner) quotaPartOf(now time.Time, service string, r wagplacement.Request) *wagquota.Part {
 	shards := o.quota.shards
-	if len(shards) == 0 || r.Customer == "" || r.Repeat || r.Hedge || r.Foreign {
+	if len(shards) == 0 || r.Customer == "" || r.Repeat || r.Hedge || r.Foreign || r.PlacedAgain {
 		return nil
 	}
 	shard := wagquota.ShardOf(r.Customer, len(shards))
--- a/wagupstream/limit.go
+++ b/wagupstream/limit.go
@@ -7,8 +7,8 @@
 )
 
 // ErrTooManyConnections means that the request would have needed a connection beyond the
-// bound of the pool or the descriptors of the process, so that it was not sent. It says nothing about the server. It
-// matches ErrNotSent, too.
+// bound of the pool or the descriptors of the process, so that it was not sent. It says
+// nothing about the server. It matches ErrNotSent, too.
 var ErrTooManyConnections = errors.WithMessage(ErrNotSent, "too many connections to servers")
 
 // reserve counts a connection that is about to be opened. At the bound, it closes the
