Revert "wagquota: Spread the returns of requests over the quota"

Most requests over the quota belong to short crests: credit is there again before the spread times, and stays unused.

--- a/wagquota/credit.go
+++ b/wagquota/credit.go
@@ -11,8 +11,6 @@
 	outUntil time.Time
 	alone    bucket
 	dirty    bool
-	// pace spreads the returns of refused requests.
-	pace pace
 }
 
 // lot is credit that may be spent until a time.
--- a/wagquota/part.go
+++ b/wagquota/part.go
@@ -153,20 +153,18 @@
 
 func (p *Part) decide(now time.Time, c *customer, limit Limit) Decision {
 	if until, ok := c.spend(now); ok {
-		c.pace.recordAdmission(now)
 		return Admit{ReturnUntil: until}
 	}
 	if p.IsAlone(now) {
 		return p.decideAlone(now, c, limit)
 	}
 	if now.Before(c.outUntil) {
-		return Refuse{Until: c.pace.next(now, c.outUntil, limit.Rate/float64(p.parts))}
+		return Refuse{Until: c.outUntil}
 	}
 	// Hosts that act for the owner have no debt: together they would exceed the debt limit.
 	if p.isOwner && int(c.total-c.acknowledged) < p.debt {
 		c.total++
 		c.dirty, p.dirty = true, true
-		c.pace.recordAdmission(now)
 		return Admit{ReturnUntil: now.Add(CreditLifetime)}
 	}
 	return Wait{}
