wagquota: Raise the burst of customers within the permitted slack

Requests of small customers come in clusters of more than their burst, and were refused with 429 although the customer stayed far within its limit over the window that the platform states.

--- a/wagowner/quota.go
+++ b/wagowner/quota.go
@@ -105,7 +105,9 @@
 		for range n {
 			q.shards = append(q.shards, make(wagquota.Limits))
 		}
+		extra := wagquota.ExtraBurst(o.limits.Quota.Slack, q.partCount)
 		for name, limit := range limits {
+			limit.Burst += extra
 			q.shards[wagquota.ShardOf(name, n)][name] = limit
 		}
 	}
--- a/wagquota/wagquota.go
+++ b/wagquota/wagquota.go
@@ -52,6 +52,19 @@
 	return max(1, int(math.Floor(debtShare*slack/float64(max(parts, 1)))))
 }
 
+// extraBurstShare is the share of the slack beyond the debt of all parts by which the burst
+// of each customer is raised. The rest is for buckets that hold a whole token although their
+// share of the burst is less.
+const extraBurstShare = 0.5
+
+// ExtraBurst returns by how much the burst of each customer may be raised within the
+// permitted slack. Requests of small customers come in clusters that exceed their burst for
+// a moment, while they stay within the limit of a window.
+func ExtraBurst(slack float64, parts int) float64 {
+	debt := float64(max(parts, 1) * DebtLimit(slack, parts))
+	return max(extraBurstShare*(slack-debt), 0)
+}
+
 // Report is what a part reports to its coordinator.
 type Report struct {
 	// Part and Sender identify the part and the host that acts for it.
