--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -96,9 +96,10 @@
 	headCost int64
 }
 
-// isFor reports whether the execution is that of a request.
+// isFor reports whether the execution is that of a request. Beside the request itself, the
+// key has to be the same, so that no caller receives a response for another customer.
 func (x *execution) isFor(p Protocol, r *http.Request) bool {
-	return x.incoming.Method == r.Method && x.incoming.RequestURI == r.RequestURI && x.incoming.Host == r.Host && p.RequestID(x.incoming.Header) == p.RequestID(r.Header)
+	return hasSameKey(p, x.incoming.Header, r.Header) && x.incoming.Method == r.Method && x.incoming.RequestURI == r.RequestURI && x.incoming.Host == r.Host && p.RequestID(x.incoming.Header) == p.RequestID(r.Header)
 }
 
 // callerListener accepts the connections of callers.
@@ -173,7 +174,9 @@
 	}
 	if len(c.unread) > 0 {
 		n = copy(p, c.unread)
-		c.unread = c.unread[n:]
+		if c.unread = c.unread[n:]; len(c.unread) == 0 {
+			c.unread = nil // its memory is no longer charged
+		}
 		c.release(unreadByteCost * int64(n))
 		c.changed.Broadcast()
 		c.mu.Unlock()
@@ -323,6 +326,7 @@
 		return nil
 	}
 	c.head = append(c.head, p...)
+	defer c.shrinkHead()
 	if len(c.head) > 2*maxUnreadBytes {
 		c.stopTracking()
 		return nil
@@ -346,6 +350,13 @@
 	return found
 }
 
+// shrinkHead gives the memory of a large buffer back that is hardly used; c.mu is held.
+func (c *callerConn) shrinkHead() {
+	if cap(c.head) > readAheadSize && cap(c.head) > 4*len(c.head) {
+		c.head = append([]byte(nil), c.head...)
+	}
+}
+
 // stopTracking ends the search for pipelined requests on the connection; c.mu is held.
 // Requests that run ahead already keep their turn.
 func (c *callerConn) stopTracking() { c.tracking, c.head = false, nil }
@@ -407,7 +418,10 @@
 func (c *callerConn) startWaiting() {
 	for len(c.waiting) > 0 && len(c.ahead) < maxAhead && c.ctx.Err() == nil {
 		next := c.waiting[0]
-		c.waiting = c.waiting[1:]
+		c.waiting[0] = pipelinedRequest{} // the array outlives the request
+		if c.waiting = c.waiting[1:]; len(c.waiting) == 0 {
+			c.waiting = nil
+		}
 		if next.number > c.begun {
 			if x := c.gateway.startAhead(c, next); x != nil {
 				c.ahead[next.number] = x
@@ -427,10 +441,15 @@
 	if config == nil || g.shuttingDown.Load() {
 		return nil
 	}
-	if route := config.Match(r.Host, routePath(r)); route == nil || !route.Idempotent {
+	route := config.Match(r.Host, routePath(r))
+	if route == nil || !route.Idempotent {
+		return nil
+	}
+	if accessOf(config, route, g.keyOf(r.Header)).isDenied() {
+		// The key may be known when it is the turn of the request.
 		return nil
 	}
-	x := g.newExecution(r.WithContext(c.ctx))
+	x := g.newExecution(r.WithContext(connContext(c.ctx, c)))
 	x.ended, x.headCost = make(chan struct{}), p.cost
 	c.tasks.Go(func() error {
 		x.runAhead(g)
@@ -511,12 +530,12 @@
 		}
 		c.waiting = nil
 		for number, other := range c.ahead {
-			other.cancel()
 			c.release(other.headCost)
 			delete(c.ahead, number)
+			c.abandon(other)
 		}
 		if x != nil {
-			x.cancel()
+			c.abandon(x)
 		}
 		x = nil
 	}
@@ -524,6 +543,16 @@
 	return x
 }
 
+// abandon cancels an execution that belongs to no request, and gives back what is reserved
+// for its response when it has ended.
+func (c *callerConn) abandon(x *execution) {
+	x.cancel()
+	c.tasks.Go(func() error {
+		x.release()
+		return nil
+	})
+}
+
 // end records that a handler returns.
 func (c *callerConn) end() {
 	c.mu.Lock()
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -44,6 +44,9 @@
 	// BusyFor returns how long a server that rejected a request wants no others from
 	// this host, or 0.
 	BusyFor(status int, h http.Header) time.Duration
+	// ColdUntil returns until when a server is cold, as it states on a health response: not
+	// after now when it is warm, and the zero time when it states nothing.
+	ColdUntil(h http.Header, now time.Time) time.Time
 	// ServerID returns the ID that a server states on a response, or an empty string.
 	ServerID(h http.Header) string
 	// HasSignature reports whether a response carries the signature that a server puts
@@ -53,6 +56,12 @@
 	RemoveSignature(h http.Header)
 	// SetRequestID sets the ID of the request on a response.
 	SetRequestID(h http.Header, id string)
+	// APIKey returns the key of a customer that a request carries; false when it carries
+	// none, or not exactly one.
+	APIKey(h http.Header) (key string, ok bool)
+	// SetCustomer sets the name of the customer on a request to a server, and removes the
+	// key and any other such name. With an empty name it only removes both.
+	SetCustomer(h http.Header, name string)
 }
 
 // Placer places requests on servers.
@@ -80,6 +89,8 @@
 	// durations holds how long the servers' work takes, by route.
 	durations       routeDurations
 	requestCounters sync.Map // route name to *atomic.Uint64, the number of its requests
+	// maySend reports whether a request may be sent to the server with an ID; nil for all.
+	maySend func(serverID string) bool
 	// limits bound what callers holds.
 	limits  Limits
 	callers callers
--- a/waghost/observe.go
+++ b/waghost/observe.go
@@ -35,11 +35,15 @@
 		o.metrics.RequestDuration.WithLabelValues(e.Route).Observe(e.Duration.Seconds())
 		o.metrics.WaitDuration.WithLabelValues(e.Service).Observe(e.WaitTime.Seconds())
 	}
-	o.log.Info(waglog.KindRequest, waglog.Fields{
+	fields := waglog.Fields{
 		"request": e.RequestID, "caller": e.CallerAddress, "route": e.Route, "service": e.Service, "version": uint64(e.ConfigVersion),
 		"outcome": e.Outcome, "status": e.Status, "reason": e.Reason, "server": e.ServerID, "attempts": e.Attempts,
 		"waitedMs": ms(e.WaitTime), "tookMs": ms(e.Duration), "inGoal": e.WithinGoal,
-	})
+	}
+	if e.Customer != "" {
+		fields["customer"] = e.Customer
+	}
+	o.log.Info(waglog.KindRequest, fields)
 }
 
 // AttemptEnded counts an attempt that has ended, and logs it if it had a fault.
@@ -60,12 +64,19 @@
 // ObserveGrant counts and logs the assignment of a server to a request.
 func (o observer) ObserveGrant(service string, waited time.Duration, g wagplacement.Grant) {
 	o.metrics.Grants.WithLabelValues(service).Inc()
+	if g.Inputs.Cold {
+		o.metrics.ColdGrants.WithLabelValues(service).Inc()
+	}
 	o.metrics.ReportAge.WithLabelValues(service).Observe(g.Inputs.ReportAge.Seconds())
-	o.log.Info(waglog.KindGrant, waglog.Fields{
+	fields := waglog.Fields{
 		"request": g.Request.Name, "service": service, "server": g.Server.ID, "running": g.Inputs.Running, "slowness": g.Inputs.Slowness,
 		"reportAgeMs": ms(g.Inputs.ReportAge), "workMs": ms(g.Inputs.ServiceTime), "waiting": g.Inputs.Waiting, "slots": g.Inputs.Slots, "waitedMs": ms(waited),
 		"late": g.Inputs.Late, "repeat": g.Request.Repeat, "hedge": g.Request.Hedge, "foreign": g.Request.Foreign,
-	})
+	}
+	if g.Inputs.Cold {
+		fields["cold"] = true
+	}
+	o.log.Info(waglog.KindGrant, fields)
 }
 
 // ObserveRefusal counts and logs a request that was assigned no server, with the reason.
--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -251,14 +251,30 @@
 	isFirstStart bool
 	// seeds holds the addresses that hosts which start now dial first.
 	seeds []netip.AddrPort
+	// ownerOptions are the options of the owners of hosts that start now.
+	ownerOptions []wagowner.Option
+	// furtherKind returns the kind that a host which starts follows beside testKind, or an
+	// empty string; nil for none.
+	furtherKind func(m wagroster.Member) string
+}
+
+// kinds returns the kinds that a host which starts follows.
+func (s *site) kinds(m wagroster.Member) []string {
+	if s.furtherKind == nil || s.furtherKind(m) == "" {
+		return []string{testKind}
+	}
+	return []string{testKind, s.furtherKind(m)}
 }
 
 // runSite runs f with a site that has a number of hosts in each data centre.
-func runSite(t *testing.T, hosts int, dataCentres []string, f func(s *site)) {
+func runSite(t *testing.T, hosts int, dataCentres []string, f func(s *site), opts ...func(s *site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &site{t: t, network: newNetwork(), store: newStore(), probes: make(map[string]int), isFirstStart: true,
 			seeds: []netip.AddrPort{testMember("", 0, 0).Address, testMember("", 1, 0).Address}}
+		for _, o := range opts {
+			o(s)
+		}
 		for n := range hosts {
 			for i, dataCentre := range dataCentres {
 				s.startHost(testMember(dataCentre, i, n))
@@ -290,7 +306,8 @@
 	h := &host{member: m, site: s, log: log}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.owner = wagowner.New(m.DataCentre, h)
+	quota := wagowner.QuotaLimits{Window: 5 * time.Second, Overage: 0.1, Slack: 20, DataCentres: 3}
+	h.owner = wagowner.New(m.DataCentre, h, append([]wagowner.Option{wagowner.WithLimits(wagowner.Limits{Quota: quota})}, s.ownerOptions...)...)
 	h.owner.SetServers(testServers())
 	changed, seeds := make(chan struct{}, 1), s.seeds
 	h.sync = wagsync.New(hostStore{s.store, m.Name}, func([]wagmirror.Record) {
@@ -298,7 +315,7 @@
 		case changed <- struct{}{}:
 		default:
 		}
-	}, []string{testKind}, wagsync.WithLog(log), wagsync.WithFirstStart(s.isFirstStart))
+	}, s.kinds(m), wagsync.WithLog(log), wagsync.WithFirstStart(s.isFirstStart))
 	h.mesh = New(m, h.sync, h.owner, WithLog(log),
 		WithSeeds(func() []netip.AddrPort { return seeds }),
 		WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
@@ -306,6 +323,7 @@
 		}))
 	h.mesh.SetServices([]string{testService})
 	h.owner.SetRemotePlaceFunc(h.mesh.PlaceRemote)
+	h.owner.SetQuotaLinks(h.mesh)
 	l := s.network.listen(m.Address)
 	h.group.Go(func() error { return h.sync.Run(ctx) })
 	h.group.Go(func() error { return h.owner.Run(ctx) })
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -14,6 +14,7 @@
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
+	"github.com/wagtailspar/wagtailspar/wagquota"
 	"github.com/wagtailspar/wagtailspar/wagserver"
 )
 
@@ -74,17 +75,22 @@
 
 	mu     sync.Mutex
 	groups map[string]*group
-	lastID wagplacement.RequestID
+	// coldRates holds the rate of cold servers by service.
+	coldRates map[string]float64
+	lastID    wagplacement.RequestID
 	// heldRequests holds the requests that arrived before the first list of servers, each
 	// until half of its time has passed, and until startupDeadline at the latest.
 	// startupDone is set when no more are held.
 	heldRequests    []heldRequest
 	startupDeadline time.Time
 	startupDone     bool
+	// evacuating is set while some data centre is evacuated.
+	evacuating bool
 	// wake is signalled when a scheduler is due before plannedWake, which is zero if none
 	// is due.
 	wake        chan struct{}
 	plannedWake time.Time
+	quota       quotas
 }
 
 // heldRequest is a request that arrived before the first list of servers.
@@ -106,6 +112,9 @@
 type waiter struct {
 	reply func(Outcome)
 	since time.Time
+	// customer was charged for the request with the decision admit, unless it is empty.
+	customer string
+	admit    wagquota.Admit
 }
 
 // Option configures an Owner.
@@ -135,7 +144,7 @@
 	// requests.
 	Window         time.Duration
 	Overage, Slack float64
-	// DataCentres is the number of data centres of the site.
+	// DataCentres is the number of data centres of the site; 0 counts as 1.
 	DataCentres int
 }
 
@@ -159,6 +168,7 @@
 	o := &Owner{
 		dataCentre: dataCentre, prober: prober, observer: discardObserver{}, placeRemote: func(context.Context, string, string, wagplacement.Request) Outcome { return nil },
 		clock: wagclock.System{}, groups: make(map[string]*group), wake: make(chan struct{}, 1),
+		quota: quotas{links: localLinks{}, parts: make(map[partKey]*wagquota.Part), coordinators: make(map[int]*wagquota.Coordinator)},
 	}
 	for _, option := range opts {
 		option(o)
@@ -205,6 +215,21 @@
 	o.finishStartup(now)
 }
 
+// SetEvacuating sets whether some data centre is evacuated, so that SetServers may have left
+// out servers. It must follow SetServers.
+func (o *Owner) SetEvacuating(evacuating bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !evacuating && !o.evacuating {
+		return
+	}
+	o.evacuating = evacuating
+	for _, g := range o.groups {
+		g.scheduler.SetEvacuating(o.clock.Now(), evacuating)
+		o.executeCommands(g)
+	}
+}
+
 // finishStartup submits the held requests. The caller must hold o.mu.
 func (o *Owner) finishStartup(now time.Time) {
 	o.startupDone = true
@@ -245,7 +270,9 @@
 	g, ok := o.groups[service]
 	if !ok {
 		g = &group{service: service, scheduler: o.newScheduler(), waiters: make(map[wagplacement.RequestID]waiter)}
+		g.scheduler.SetEvacuating(o.clock.Now(), o.evacuating)
 		o.groups[service] = g
+		o.setColdRate(g)
 	}
 	return g
 }
@@ -268,15 +295,23 @@
 	now := o.clock.Now()
 	g.waiters[r.ID] = waiter{reply: reply, since: now}
 	t := Ticket{owner: o, group: g, id: r.ID}
+	if o.takeQuota(now, g, r) {
+		o.submitAdmitted(now, g, r)
+	}
+	return t
+}
+
+// submitAdmitted submits a request that is within the quota of its customer. The caller
+// must hold o.mu.
+func (o *Owner) submitAdmitted(now time.Time, g *group, r wagplacement.Request) {
 	if !o.startupDone && !r.Foreign && now.Before(o.startupDeadline) {
 		until := wagclock.Earlier(o.startupDeadline, now.Add(r.Deadline.Sub(now)/2))
 		o.heldRequests = append(o.heldRequests, heldRequest{group: g, request: r, until: until})
 		o.scheduleWake(until)
-		return t
+		return
 	}
 	g.scheduler.Submit(now, r)
 	o.executeCommands(g)
-	return t
 }
 
 // IsWaiting reports whether the request has no outcome yet.
@@ -296,6 +331,7 @@
 	if _, waiting := t.group.waiters[t.id]; !waiting {
 		return false
 	}
+	o.returnQuota(o.clock.Now(), t.group, t.id)
 	delete(t.group.waiters, t.id)
 	t.group.scheduler.Cancel(o.clock.Now(), t.id)
 	return true
@@ -326,6 +362,7 @@
 			g.reply(x.Request.ID, Granted{Server: x.Server, HedgeAfter: x.HedgeAfter, Finish: func(r wagplacement.Result) { o.finish(g, x.Request.ID, r) }})
 		case wagplacement.Refuse:
 			o.observer.ObserveRefusal(g.service, o.waitTime(g, x.Request.ID), x)
+			o.returnQuota(o.clock.Now(), g, x.Request.ID)
 			g.reply(x.Request.ID, Refused{Reason: x.Reason, RetryAt: x.RetryAt})
 		case wagplacement.Spill:
 			o.tasks.Go(func() error {
@@ -388,11 +425,11 @@
 	case taken:
 		g.reply(x.Request.ID, granted)
 	case !ok:
-		until := now.Add(spillCooldown)
 		if refused, isRefused := outcome.(Refused); isRefused {
-			until = refused.RetryAt
+			g.scheduler.HandleSpillRefusal(now, x.Request.ID, x.DataCentre, refused.RetryAt)
+		} else {
+			g.scheduler.HandleSpillSilence(now, x.Request.ID, x.DataCentre, now.Add(spillCooldown))
 		}
-		g.scheduler.HandleSpillRefusal(now, x.Request.ID, x.DataCentre, until)
 	}
 	o.executeCommands(g)
 	o.mu.Unlock()
@@ -452,6 +489,7 @@
 	if len(o.heldRequests) > 0 {
 		next = o.submitExpired(now)
 	}
+	next = earlierWake(next, o.tickQuota(now))
 	for _, g := range o.groups {
 		if at := g.scheduler.NextWake(); !at.IsZero() && !at.After(now) {
 			g.scheduler.Tick(now)
--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -68,19 +68,25 @@
 	l.meanHoldTime += time.Duration(holdTimeWeight * float64(d-l.meanHoldTime))
 }
 
-// countSlots estimates how many requests the group can run at once, and how many of
-// these slots are free.
-func (sc *Scheduler) countSlots(now time.Time) (all, free float64) {
+// countSlots estimates how many requests like w the group can run at once, and how many
+// of these slots are free.
+func (sc *Scheduler) countSlots(now time.Time, w *waiter) capacity {
+	var all, free float64
+	cold := capacity{holdTime: sc.meanHoldTime(w)}
 	for _, s := range sc.byID {
 		if !s.isLive() || s.isExcluded(now) || s.stuckCount > 1 {
 			continue
 		}
 		limit := sc.concurrencyLimit(s)
+		if sc.isBounded(now, s) {
+			cold.addCold(now, sc, s, w, limit, max(limit-s.occupiedSlots(now), 0))
+			continue
+		}
 		all += float64(limit)
 		free += float64(max(limit-s.occupiedSlots(now), 0))
 	}
-	sc.estimatedSlots = all * (1 - sc.load.slowShare)
-	return sc.estimatedSlots, free * (1 - sc.load.slowShare)
+	sc.estimatedSlots = all*(1-sc.load.slowShare) + cold.all
+	return capacity{all: sc.estimatedSlots, free: free*(1-sc.load.slowShare) + cold.free, holdTime: cold.holdTime, nextFree: cold.nextFree, onlyCold: all == 0}
 }
 
 // noServerWait is the wait of a request while there is no server. It is longer than
@@ -89,15 +95,19 @@
 
 // estimateWait estimates how long a request waits behind a number of others.
 func (sc *Scheduler) estimateWait(now time.Time, w *waiter, ahead int) time.Duration {
-	all, free := sc.countSlots(now)
-	if all == 0 || sc.avoidsAllServers(w) {
+	slots := sc.countSlots(now, w)
+	if slots.all == 0 || sc.avoidsAllServers(w) {
 		return noServerWait
 	}
-	missingSlots := float64(ahead) + 1 - free
+	missingSlots := float64(ahead) + 1 - slots.free
 	if missingSlots <= 0 {
 		return 0
 	}
-	return time.Duration(missingSlots / all * float64(sc.meanHoldTime(w)))
+	wait := time.Duration(missingSlots / slots.all * float64(slots.holdTime))
+	if slots.isHeldBack() {
+		wait = max(wait, slots.nextFree.Sub(now))
+	}
+	return wait
 }
 
 // avoidsAllServers reports whether the request avoids each server that is not leaving.
@@ -129,13 +139,17 @@
 	if !now.Add(wait).After(w.latestStartForGoal()) {
 		return true
 	}
-	if w.Foreign {
+	if w.Foreign && !sc.evacuating {
 		sc.refuse(&w.Request, ReasonOverload, now.Add(clampRetryDelay(wait)), wait)
 		return false
 	}
-	if sc.requestSpill(now, w) {
+	if !w.Foreign && sc.requestSpill(now, w) {
 		return true
 	}
+	if sc.isEvacuated() {
+		sc.refuseEvacuated(now, w)
+		return false
+	}
 	if spare := sc.spareRate(now, w); spare > 0 && wait < noServerWait {
 		lateWait := time.Duration(float64(ahead+1) / spare * float64(time.Second))
 		if !now.Add(lateWait).After(w.latestStartForDeadline()) {
@@ -150,8 +164,8 @@
 // spareRate returns the rate per second at which late requests can be served, or 0 if
 // the others need all slots.
 func (sc *Scheduler) spareRate(now time.Time, w *waiter) float64 {
-	all, _ := sc.countSlots(now)
-	capacity := all / sc.meanHoldTime(w).Seconds()
+	slots := sc.countSlots(now, w)
+	capacity := slots.all / slots.holdTime.Seconds()
 	sc.load.decay(now)
 	spare := capacity - sc.load.arrivalRate
 	if spare < minSpareShare*capacity {
@@ -213,11 +227,30 @@
 // HandleSpillRefusal records that a data centre takes no requests until a given time,
 // and decides again on the request.
 func (sc *Scheduler) HandleSpillRefusal(now time.Time, id RequestID, dataCentre string, until time.Time) {
+	if sc.provesFull(now, id) {
+		sc.setFullUntil(dataCentre, until)
+	}
+	sc.readmit(now, id)
+}
+
+// HandleSpillSilence records that a data centre did not reply and is not asked until a
+// given time, and decides again on the request.
+func (sc *Scheduler) HandleSpillSilence(now time.Time, id RequestID, dataCentre string, until time.Time) {
+	sc.setFullUntil(dataCentre, until)
+	sc.readmit(now, id)
+}
+
+// setFullUntil records until when a data centre is not asked for servers.
+func (sc *Scheduler) setFullUntil(dataCentre string, until time.Time) {
 	for i := range sc.remotes {
 		if sc.remotes[i].name == dataCentre {
 			sc.remotes[i].fullUntil = until
 		}
 	}
+}
+
+// readmit decides again on a request that another data centre did not take.
+func (sc *Scheduler) readmit(now time.Time, id RequestID) {
 	w := sc.queue.find(id)
 	if w == nil {
 		return
--- a/wagplacement/scheduler.go
+++ b/wagplacement/scheduler.go
@@ -25,7 +25,10 @@
 	probeRate float64
 	load      loadEstimate
 	knee      knee
+	cold      coldLimit
 	remotes   []remoteDataCentre
+	// evacuating is set while some data centre is evacuated.
+	evacuating bool
 	// answeredAt is when a server of the group last answered a request or a probe.
 	answeredAt time.Time
 	// searchOffset is where the search for a server starts. It moves on, so that equal
@@ -89,6 +92,8 @@
 	switch {
 	case r.Foreign:
 		// Its own data centre counts the request in its retry budget.
+	case r.PlacedAgain:
+		// The retry budget has counted it.
 	case !r.Repeat:
 		sc.budget.countRequest(now)
 	case !sc.budget.takeRepeat(now, r):
@@ -101,6 +106,9 @@
 		sc.load.recordArrival(now)
 	}
 	sc.limitExclusions(now)
+	if !r.decidesAlone() {
+		sc.cold.recordOwnerRequest(now)
+	}
 	if sc.admit(now, w) {
 		sc.queue.add(w)
 	}
@@ -122,8 +130,15 @@
 	if r.HasReport {
 		sc.load.recordReport(g.server.report.Slowness >= slowThreshold)
 	}
-	if r.Fault != FaultConnect && r.Fault != FaultRejected && r.Fault != FaultMisdirected {
-		sc.load.recordHoldTime(now.Sub(g.grantedAt))
+	switch held := now.Sub(g.grantedAt); r.Fault {
+	case FaultConnect, FaultRejected, FaultMisdirected:
+	case FaultCanceled:
+		// The request would have held the slot for at least that long, or was not sent.
+		if sc.load.meanHoldTime > 0 && held > sc.load.meanHoldTime {
+			sc.load.recordHoldTime(held)
+		}
+	default:
+		sc.load.recordHoldTime(held)
 	}
 	if r.Fault == FaultNone {
 		sc.updateEstimates(g, r.Latency)
@@ -224,11 +239,22 @@
 			s = &server{probeLimiter: rate.NewLimiter(rate.Limit(sc.probeRate), max(int(sc.probeRate*probeBurstWindow.Seconds()), 1)), withoutReports: sc.serviceWithoutReports(), disabled: sc.disabled}
 			sc.servers[instance.ID] = s
 		}
+		if s.cold.listedAt.IsZero() {
+			s.cold.listedAt = now
+		}
+		if !instance.ColdUntil.Equal(s.ColdUntil) {
+			s.cold.setFromEntry(now, instance.ColdUntil)
+		}
 		s.Instance, s.listed = instance, true
 	}
 	for id, s := range sc.servers {
-		if !s.listed && s.running == 0 {
+		switch {
+		case s.listed:
+		case s.running == 0:
 			delete(sc.servers, id)
+		default:
+			// It may become cold until it is listed again.
+			s.cold.listedAt, s.cold.isConfirmed = time.Time{}, false
 		}
 	}
 	sc.sortServers()
--- a/wagplacement/wagplacement.go
+++ b/wagplacement/wagplacement.go
@@ -34,8 +34,13 @@
 	// towards the retry budget.
 	Repeat bool
 	// Foreign marks a request from another data centre. It is not passed on to a third
-	// one and is refused when it cannot be answered by its goal.
+	// one and is refused when it cannot be answered by its goal. While a data centre is
+	// evacuated, its late requests have no other place to run, so that late ones are
+	// treated like those of the own data centre.
 	Foreign bool
+	// PlacedAgain marks a request whose latest grant was given back unsent. It was counted
+	// when that was granted.
+	PlacedAgain bool
 	// OwnerUnreachable is set when the host that took the request decides by itself,
 	// because the owner of the group does not reply. Such a host knows only some of the
 	// repeats.
@@ -43,6 +48,9 @@
 	// Hedge marks a second attempt of a request that still runs on another server. It
 	// is granted only if that takes no slot from other requests.
 	Hedge bool
+	// Alone is which cold servers the request may use if the host that decides may not be
+	// the only one.
+	Alone AloneShare
 }
 
 // Command is an action that a Scheduler asks for: Grant, Refuse, Probe or Spill.
@@ -86,6 +94,8 @@
 	ServiceTime time.Duration
 	// Late is set when the request could no longer be answered by its goal.
 	Late bool
+	// Cold is set when the bound on cold servers applied to the server.
+	Cold bool
 }
 
 // Probe asks for a load report of a server. HandleProbeResult must follow.
