--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -1,19 +1,15 @@
 package waggateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"os"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/net/http/httpguts"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -81,27 +77,6 @@
 	cost int64
 }
 
-// execution is a request that is placed and sent to servers, up to its response.
-type execution struct {
-	incoming *http.Request
-	cancel   context.CancelFunc
-	start    time.Time
-	// ended is closed when a request that runs ahead has a response; nil for others.
-	ended chan struct{}
-	// request is nil when the request was not accepted.
-	request  *request
-	response response
-	// headCost is the memory in bytes that is reserved for the head of a request that runs
-	// ahead.
-	headCost int64
-}
-
-// isFor reports whether the execution is that of a request. Beside the request itself, the
-// key has to be the same, so that no caller receives a response for another customer.
-func (x *execution) isFor(p Protocol, r *http.Request) bool {
-	return hasSameKey(p, x.incoming.Header, r.Header) && x.incoming.Method == r.Method && x.incoming.RequestURI == r.RequestURI && x.incoming.Host == r.Host && p.RequestID(x.incoming.Header) == p.RequestID(r.Header)
-}
-
 // callerListener accepts the connections of callers.
 type callerListener struct {
 	net.Listener
@@ -361,59 +336,6 @@
 // Requests that run ahead already keep their turn.
 func (c *callerConn) stopTracking() { c.tracking, c.head = false, nil }
 
-// parseHead returns the request with a head, or nil if that is not the head of exactly
-// one safe request without a body after which the connection carries another one.
-// Everything after a head that it accepts is read as a request, so that it must accept
-// no head after which net/http reads a body, closes the connection or stops serving it.
-// It therefore leaves the framing to the parser of net/http, and repeats the checks that
-// the server makes beside it.
-func parseHead(head []byte) *http.Request {
-	reader := bufio.NewReader(bytes.NewReader(head))
-	r, err := http.ReadRequest(reader)
-	if err != nil || reader.Buffered() > 0 {
-		return nil
-	}
-	switch {
-	case r.Method != http.MethodGet && r.Method != http.MethodHead:
-	case !strings.HasPrefix(r.RequestURI, "/"): // r.Host might not be the Host field
-	case r.ProtoMajor != 1 || r.ProtoMinor != 1 || r.Close:
-	case r.ContentLength != 0 || len(r.TransferEncoding) > 0:
-	case r.Header.Get("Expect") != "" || r.Header.Get("Upgrade") != "":
-	case !onlyKeepsAlive(r.Header.Values("Connection")):
-	case !hasOneHost(head) || !httpguts.ValidHostHeader(r.Host) || !hasValidFields(r.Header):
-	default:
-		return r
-	}
-	return nil
-}
-
-// onlyKeepsAlive reports whether Connection fields ask for nothing but a connection that
-// stays open.
-func onlyKeepsAlive(values []string) bool {
-	for _, value := range values {
-		if !strings.EqualFold(strings.TrimSpace(value), "keep-alive") {
-			return false
-		}
-	}
-	return true
-}
-
-// hasOneHost reports whether a head has exactly one Host field. http.ReadRequest drops
-// what it has read of them.
-func hasOneHost(head []byte) bool {
-	return bytes.Count(bytes.ToLower(head), []byte("\nhost:")) == 1
-}
-
-// hasValidFields reports whether the server of net/http accepts the fields of a request.
-func hasValidFields(header http.Header) bool {
-	for name, values := range header {
-		if !httpguts.ValidHeaderFieldName(name) || slices.ContainsFunc(values, func(v string) bool { return !httpguts.ValidHeaderFieldValue(v) }) {
-			return false
-		}
-	}
-	return true
-}
-
 // startWaiting starts the requests that may run ahead now; c.mu is held.
 func (c *callerConn) startWaiting() {
 	for len(c.waiting) > 0 && len(c.ahead) < maxAhead && c.ctx.Err() == nil {
@@ -432,80 +354,6 @@
 	}
 }
 
-// startAhead begins the execution of a pipelined request. It returns nil for a request
-// that has to wait for its turn. None starts during a shutdown, because the connection
-// closes after the response that the caller waits for.
-func (g *Gateway) startAhead(c *callerConn, p pipelinedRequest) *execution {
-	r := p.request
-	config := g.config.Load()
-	if config == nil || g.shuttingDown.Load() {
-		return nil
-	}
-	route := config.Match(r.Host, routePath(r))
-	if route == nil || !route.Idempotent {
-		return nil
-	}
-	if accessOf(config, route, g.keyOf(r.Header)).isDenied() {
-		// The key may be known when it is the turn of the request.
-		return nil
-	}
-	x := g.newExecution(r.WithContext(connContext(c.ctx, c)))
-	x.ended, x.headCost = make(chan struct{}), p.cost
-	c.tasks.Go(func() error {
-		x.runAhead(g)
-		return nil
-	})
-	return x
-}
-
-// runAhead executes the request. net/http recovers from a panic of a handler; here it
-// must not end the program either.
-func (x *execution) runAhead(g *Gateway) {
-	defer close(x.ended)
-	defer func() {
-		if cause := recover(); cause != nil {
-			g.log.WithField("panic", cause).Error("the execution of a request panicked")
-			x.response = response{status: http.StatusBadGateway, outcome: OutcomeFailed, reason: "panic"}
-		}
-	}()
-	x.accept(g)
-	x.run()
-}
-
-// newExecution returns the execution of a request. accept and run have to follow.
-func (g *Gateway) newExecution(r *http.Request) *execution {
-	ctx, cancel := context.WithCancel(r.Context())
-	return &execution{incoming: r.WithContext(ctx), cancel: cancel, start: g.clock.Now()}
-}
-
-// accept checks the request and reads its body.
-func (x *execution) accept(g *Gateway) { x.request, x.response = g.newRequest(x.incoming) }
-
-// run places and sends an accepted request.
-func (x *execution) run() {
-	if x.request != nil {
-		x.response = x.request.run()
-	}
-}
-
-// await waits until the response is there.
-func (x *execution) await() {
-	if x.ended != nil {
-		<-x.ended
-	}
-}
-
-// release ends what still runs for the execution, after its response was written.
-func (x *execution) release() {
-	x.await()
-	if x.request != nil {
-		x.request.cancelAttempts()
-		x.request.releaseBody()
-		x.request.releaseResponse()
-	}
-	x.cancel()
-}
-
 // begin records that the handler of the next request has been called. It returns the
 // execution of that request if it runs ahead, and nil otherwise.
 func (c *callerConn) begin(r *http.Request) *execution {
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -52,14 +52,6 @@
 // spillCooldown is how long a data centre that did not reply is not asked again.
 const spillCooldown = 500 * time.Millisecond
 
-// StartupWaitTimeout bounds how long after its start a host lets requests wait for the
-// configuration, which is small.
-const StartupWaitTimeout = 400 * time.Millisecond
-
-// serversWaitTimeout bounds how long after its start a host lets requests wait for the
-// list of servers. Other hosts send it, or the store in several pages.
-const serversWaitTimeout = time.Second
-
 // Owner places requests on servers. It is safe for concurrent use.
 type Owner struct {
 	clock       wagclock.Clock
@@ -93,13 +85,6 @@
 	quota       quotas
 }
 
-// heldRequest is a request that arrived before the first list of servers.
-type heldRequest struct {
-	group   *group
-	request wagplacement.Request
-	until   time.Time
-}
-
 // group is the server group of a service in the data centre of the owner.
 type group struct {
 	service   string
@@ -230,40 +215,6 @@
 	}
 }
 
-// finishStartup submits the held requests. The caller must hold o.mu.
-func (o *Owner) finishStartup(now time.Time) {
-	o.startupDone = true
-	for _, e := range o.heldRequests {
-		o.submitHeld(now, e)
-	}
-	o.heldRequests = nil
-}
-
-// submitHeld submits a held request unless it was cancelled. The caller must hold o.mu.
-func (o *Owner) submitHeld(now time.Time, e heldRequest) {
-	if _, waiting := e.group.waiters[e.request.ID]; waiting {
-		e.group.scheduler.Submit(now, e.request)
-		o.executeCommands(e.group)
-	}
-}
-
-// submitExpired submits the held requests that have waited long enough. It returns when
-// the next one has, or the zero time. The caller must hold o.mu.
-func (o *Owner) submitExpired(now time.Time) (next time.Time) {
-	o.heldRequests = slices.DeleteFunc(o.heldRequests, func(e heldRequest) bool {
-		if !now.Before(e.until) {
-			o.submitHeld(now, e)
-			return true
-		}
-		if next.IsZero() || e.until.Before(next) {
-			next = e.until
-		}
-		return false
-	})
-	o.startupDone = o.startupDone || !now.Before(o.startupDeadline)
-	return next
-}
-
 // group returns the group of a service and creates it if needed. The caller must hold
 // o.mu.
 func (o *Owner) group(service string) *group {
