--- a/waghost/operator_test.go
+++ b/waghost/operator_test.go
@@ -132,7 +132,7 @@
 	})
 }
 
-// Guards against clients that hold the connections of the operator port for ever.
+// Guards against clients that hold the connections of the operator port indefinitely.
 func TestOperatorTimeouts(t *testing.T) {
 	for name, x := range map[string]struct {
 		sent    string
--- a/wagquota/coordinator.go
+++ b/wagquota/coordinator.go
@@ -35,7 +35,7 @@
 	customers map[string]*account
 }
 
-// account is what is known of a customer at a sender.
+// account holds the charges and the demand of a customer at a sender.
 type account struct {
 	total  uint64
 	demand float64 // requests per second
@@ -91,7 +91,7 @@
 }
 
 // capacity returns the most tokens that a share of the parts may have together. It is at
-// least 1, because a customer without a whole token would be refused for ever.
+// least 1, because a customer without a whole token would always be refused.
 func capacity(limit Limit, share float64) float64 { return max(limit.Burst*share, 1) }
 
 // Handle handles the report of a part.
@@ -194,7 +194,7 @@
 	a.at = now
 }
 
-// at0 returns the estimated demand at a time.
+// demandAt returns the estimated demand at a time.
 func (a *account) demandAt(now time.Time) float64 {
 	return a.demand * math.Exp(-now.Sub(a.at).Seconds()/demandTime.Seconds())
 }
