wagquota: Let the coordinator of most parts grant what lost parts leave

Cause: a coordinator refills with the share of the parts that it hears, because the others may be cut off and spend theirs. Ruled out: to grant the share of silent parts as a whole, which exceeds the limit whenever a data centre is cut off and serves on.

Parts alone, and coordinators of at most half of the parts, now have two thirds of their shares, and the coordinator of most parts grants the rest. Only one can count more than half, so that the bound holds as before (TestBoundWithFaults).

--- a/wagquota/coordinator.go
+++ b/wagquota/coordinator.go
@@ -70,15 +70,22 @@
 	c.refillAll(now)
 }
 
-// share returns the share of the parts that are counted.
+// share returns the share of the rate that this coordinator may grant. One that counts most
+// parts also grants what the others leave, so that the loss of a data centre costs customers
+// less of their limit. Only one coordinator can count most of them.
 func (c *Coordinator) share(now time.Time) float64 {
-	n := 0
+	counted := 0
 	for _, until := range c.countedUntil {
 		if now.Before(until) {
-			n++
+			counted++
 		}
 	}
-	return min(float64(n)/float64(max(c.parts, 1)), 1)
+	parts := max(c.parts, 1)
+	counted = min(counted, parts)
+	if 2*counted <= parts {
+		return minorityShare * float64(counted) / float64(parts)
+	}
+	return (float64(counted) + (1-minorityShare)*float64(parts-counted)) / float64(parts)
 }
 
 // refillAll refills all buckets. It precedes each change of the share and the limits.
--- a/wagquota/part.go
+++ b/wagquota/part.go
@@ -172,7 +172,7 @@
 
 // decideAlone spends the share of the part, or of this host, without the coordinator.
 func (p *Part) decideAlone(now time.Time, c *customer, limit Limit) Decision {
-	share := 1 / float64(p.parts)
+	share := minorityShare / float64(p.parts)
 	if !p.isOwner {
 		share /= float64(p.hosts)
 	}
--- a/wagquota/wagquota.go
+++ b/wagquota/wagquota.go
@@ -52,6 +52,11 @@
 	return max(1, int(math.Floor(debtShare*slack/float64(max(parts, 1)))))
 }
 
+// minorityShare is the share of its part of the rate that a part spends by itself, or gets
+// from a coordinator that counts at most half of the parts. The coordinator that counts most
+// parts grants the rest: most callers are with it, and the others may be lost.
+const minorityShare = 2.0 / 3
+
 // extraBurstShare is the share of the slack beyond the debt of all parts by which the burst
 // of each customer is raised. The rest is for buckets that hold a whole token although their
 // share of the burst is less.
