--- a/review/standins-2/planned_stop_test.go
+++ b/review/standins-2/planned_stop_test.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-func init() { cases["7"] = plannedStop }
+func init() { cases["8"] = plannedStop }
 
 // assayConfig is the route assay-lookup of the site ckp-gateway-grown.
 func assayConfig(version string) map[string]any {
