Review: stand-ins end the processes when they are stopped

Cause: a script that is stopped by its time limit left its gateway processes running. Added: the stand-ins end them on SIGTERM.

--- a/review/standins-2/site_test.go
+++ b/review/standins-2/site_test.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -52,6 +53,14 @@
 		return exitNotRun
 	}
 	defer s.end()
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	background.Go(func() {
+		<-stops
+		s.logf("the case was stopped from outside")
+		s.end()
+		os.Exit(exitNotRun)
+	})
 	defer func() {
 		if cause := recover(); cause != nil {
 			s.logf("the case could not run: %v", cause)
@@ -76,11 +85,10 @@
 	hosts   []*host
 	servers []*server
 
-	mu      sync.Mutex
-	record  *bufio.Writer
-	file    *os.File
-	lastID  int
-	lastRev int
+	mu     sync.Mutex
+	record *bufio.Writer
+	file   *os.File
+	lastID int
 }
 
 func newSite(folder string) (*site, error) {
@@ -272,8 +280,11 @@
 func (h *host) kill() {
 	h.signal(syscall.SIGCONT)
 	h.signal(syscall.SIGKILL)
-	if h.exited != nil {
-		<-h.exited
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	if exited != nil {
+		<-exited
 	}
 }
 
@@ -358,7 +369,7 @@
 	signed bool
 	// err is why there is no complete response.
 	err error
-	// onHost is the end of the connection at the host as /proc/net/tcp shows it.
+	// localAddress is the address of the client.
 	localAddress string
 }
 
