--- a/review/standins-2/restart_in_place_test.go
+++ b/review/standins-2/restart_in_place_test.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["10"] = restartInPlace }
+func init() { cases["restart-in-place"] = restartInPlace }
 
 // restartServer makes a server leave, and start again under the ID and the address that it had.
 func (s *site) restartServer(x *server) {
--- a/review/standins-2/store_moves_test.go
+++ b/review/standins-2/store_moves_test.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-func init() { cases["9"] = storeMoves }
+func init() { cases["10"] = storeMoves }
 
 // gate is a listener whose connections can be closed together with it.
 type gate struct {
