wagupstream: Compare stated lengths before one is added to them

Cause: ReadUpTo adds one to the length of a body so that its end is seen. At math.MaxInt64 the sum overflows, and make panics with a negative capacity. The goroutines of hedged requests and of probes do not recover, so that the process ends. The stack of the panic in the output of the hosts shows it; no other place of the stack does arithmetic on the length.

The length is compared with the limit first. Any length that http.ReadResponse accepts is below the limit then, or does not change it.

TestReadUpToWithAnyLength and TestResponseStatesLargestLength, before: "panic: runtime error: makeslice: cap out of range".

--- a/wagupstream/buffer.go
+++ b/wagupstream/buffer.go
@@ -14,9 +14,9 @@
 // length of the body, or -1. complete reports whether the body ended; otherwise the rest is
 // still to be read.
 func ReadUpTo(body io.Reader, length, limit int64, mayGrow func(bytes int64) bool) (p []byte, complete bool, err error) {
-	if length >= 0 {
+	if length >= 0 && length < limit {
 		// One byte more, so that the end of the body is seen.
-		limit = min(limit, length+1)
+		limit = length + 1
 	}
 	p = make([]byte, 0, min(firstBufferBytes, limit))
 	for {
