wagpanic: Keep a panic at one message from ending the process

Cause: net/http recovers from panics of handlers, but not the goroutines that send hedged requests, ask for a second server, probe, ask other data centres, read ahead on a caller's connection, handle frames of other hosts or responses of the store. A poisoned entry of the store would have ended every host, again after each restart.

Catch recovers, logs the stack and counts. Each use gives up one message: an attempt or probe counts as broken, so that its slot is freed, an entry is invalid, a link ends, the search for pipelined requests stops. Found on the way: the zero Ticket of a request whose submission panicked could not be cancelled.

Not covered: the timers of the scheduler, whose state is not known after a panic.

--- a/wagcontrol/wagcontrol.go
+++ b/wagcontrol/wagcontrol.go
@@ -20,6 +20,7 @@
 	"github.com/wagtailspar/wagtailspar/wagdocument"
 	"github.com/wagtailspar/wagtailspar/wagevent"
 	"github.com/wagtailspar/wagtailspar/wagmember"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagpeer"
 	"github.com/wagtailspar/wagtailspar/wagrollout"
 	"github.com/wagtailspar/wagtailspar/wagrouting"
@@ -263,7 +264,10 @@
 		return false
 	}
 	return c.tasks.TryGo(func() error {
-		task()
+		_ = wagpanic.Catch(c.log, func() error { // logs the error
+			task()
+			return nil
+		})
 		return nil
 	})
 }
--- a/wagentry/attempt.go
+++ b/wagentry/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/wagtailspar/wagtailspar/wagevent"
 	"github.com/wagtailspar/wagtailspar/wagoutcome"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagretry"
 	"github.com/wagtailspar/wagtailspar/wagrouting"
 	"github.com/wagtailspar/wagtailspar/wagserver"
@@ -59,8 +60,8 @@
 	return a
 }
 
-// send sends the request to a server and evaluates the header of the response.
-func (a *attempt) send() {
+// exchange sends the request to a server and evaluates the header of the response.
+func (a *attempt) exchange() {
 	if !a.roundTrip(nil) {
 		return
 	}
@@ -80,6 +81,25 @@
 	}
 }
 
+// send calls exchange. A panic counts as a broken response, so that the slot is freed: the
+// server may have run the request.
+func (a *attempt) send() {
+	err := wagpanic.Catch(a.request.proxy.log, func() error {
+		a.exchange()
+		return nil
+	})
+	if err == nil {
+		return
+	}
+	if a.resp != nil {
+		_ = a.resp.Body.Close()
+		a.resp = nil
+	}
+	a.written, a.evidence = true, wagoutcome.Evidence{Written: true}
+	a.outcome, a.reason = wagoutcome.Classify(a.evidence)
+	a.result.Fault = wagrouting.FaultBroken
+}
+
 // roundTrip sends the request and receives the header of the response. Without a
 // response it sets outcome, reason and fault, and returns false.
 func (a *attempt) roundTrip(extraHeaders http.Header) bool {
--- a/wagentry/forward_test.go
+++ b/wagentry/forward_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -313,3 +314,23 @@
 		is.New(t).True(strings.Contains(w.Body.String(), tt.part))
 	}
 }
+
+// Guards against a response that ends the process while a request is hedged, and against a
+// slot that stays taken by it.
+func TestPanicDuringHedge(t *testing.T) {
+	is := is.New(t)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
+	servers := liveServers(startServer(t, handler), startServer(t, handler))
+	h := newTestHost(t, "a", "hedge = true", servers)
+	for range 1000 {
+		h.group("lots").serviceTimes.Observe(time.Millisecond)
+	}
+	for _, s := range servers {
+		h.serverPool.get(s.Address, 10, func(int) {}).transport.Proxy = func(*http.Request) (*url.URL, error) { panic("unexpected") }
+	}
+	for range 20 {
+		resp, _, err := doRequest(t, "GET", h.caller, "/lots/repeat", "")
+		is.NoErr(err)
+		is.Equal(resp.Header.Get(wagoutcome.OutcomeHeader), "unknown")
+	}
+}
--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 	"github.com/wagtailspar/wagtailspar/wagupstream"
 )
@@ -19,6 +20,8 @@
 	reasonDeadline   = "deadline"
 	// reasonRestricted means that the server had asked this host for no requests.
 	reasonRestricted = "restricted"
+	// reasonPanic means that the handling of the response panicked.
+	reasonPanic = "panic"
 )
 
 // ReasonTooManyConnections is the reason of requests that would have needed a connection
@@ -60,8 +63,23 @@
 	}
 }
 
-// send sends the request to the server of an attempt and stores the result.
+// send sends the request to the server of an attempt and stores the result. A panic counts
+// as a broken response, so that the server's slot and the caller get a result.
 func (q *request) send(ctx context.Context, t *attempt) {
+	err := wagpanic.Catch(q.gateway.log, func() error {
+		q.exchange(ctx, t)
+		return nil
+	})
+	if err != nil {
+		t.closeBody()
+		t.resp, t.notSent = nil, false
+		t.result = wagplacement.Result{Fault: wagplacement.FaultBroken, Latency: q.gateway.clock.Now().Sub(t.start)}
+		t.reason, t.detail = reasonPanic, err.Error()
+	}
+}
+
+// exchange sends the request and receives the response.
+func (q *request) exchange(ctx context.Context, t *attempt) {
 	server := wagupstream.Server{Address: t.granted.Server.Address, ID: t.granted.Server.ID}
 	resp, reused, err := q.gateway.upstream.Exchange(ctx, server, q.outgoingRequest(t), t.start.Add(dialTimeout))
 	t.resp, t.connReused = resp, reused
--- a/waggateway/hedge.go
+++ b/waggateway/hedge.go
@@ -6,6 +6,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 )
 
@@ -17,6 +18,17 @@
 	ended chan *attempt
 }
 
+// start runs f in the background. A panic of f ends nothing but f.
+func (h *hedge) start(f func()) {
+	h.group.Go(func() error {
+		_ = wagpanic.Catch(h.request.gateway.log, func() error { // logs the error
+			f()
+			return nil
+		})
+		return nil
+	})
+}
+
 // sendHedged sends the request to a server, and also to a second one when the first
 // takes longer than usual and the request is idempotent. It returns the attempt that
 // decides the response; the other one is canceled.
@@ -67,9 +79,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	placed := make(chan wagowner.Outcome, 1)
 	r := q.placementRequest(true)
-	h.group.Go(func() error {
-		placed <- q.gateway.placer.Place(ctx, q.service, r)
-		return nil
+	h.start(func() {
+		var outcome wagowner.Outcome
+		defer func() { placed <- outcome }()
+		outcome = q.gateway.placer.Place(ctx, q.service, r)
 	})
 	select {
 	case outcome := <-placed:
@@ -85,11 +98,10 @@
 	case ended = <-h.ended:
 	}
 	cancel()
-	h.group.Go(func() error {
+	h.start(func() {
 		if granted, ok := (<-placed).(wagowner.Granted); ok {
 			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
 		}
-		return nil
 	})
 	return wagowner.Granted{}, ended
 }
@@ -105,10 +117,9 @@
 func (h *hedge) startAttempt(ctx context.Context, t *attempt) context.CancelFunc {
 	ctx, cancel := context.WithCancel(ctx)
 	h.request.cancels = append(h.request.cancels, cancel)
-	h.group.Go(func() error {
+	h.start(func() {
 		h.request.send(ctx, t)
 		h.ended <- t
-		return nil
 	})
 	return cancel
 }
@@ -130,7 +141,7 @@
 // awaitOvertaken waits in the background for the attempt that was overtaken, and
 // reports its result.
 func (h *hedge) awaitOvertaken() {
-	h.group.Go(func() error {
+	h.start(func() {
 		t := <-h.ended
 		if t.result.Fault == wagplacement.FaultBroken || t.result.Fault == wagplacement.FaultCanceled {
 			t.result.Fault, t.reason = wagplacement.FaultOvertaken, "overtaken"
@@ -138,6 +149,5 @@
 		t.closeBody()
 		t.granted.Finish(t.result)
 		h.request.gateway.observer.AttemptEnded(h.request.attemptResult(t))
-		return nil
 	})
 }
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 )
 
 const (
@@ -264,8 +266,19 @@
 }
 
 // receive looks for complete requests in the received bytes and runs those ahead that
-// wait for an earlier one; c.mu is held.
+// wait for an earlier one; c.mu is held. A panic ends the search and nothing else: it is
+// called by goroutines that would end the process.
 func (c *callerConn) receive(p []byte) {
+	err := wagpanic.Catch(c.gateway.log, func() error {
+		c.findRequests(p)
+		return nil
+	})
+	if err != nil {
+		c.stopTracking()
+	}
+}
+
+func (c *callerConn) findRequests(p []byte) {
 	for {
 		c.startWaiting() // makes room for others
 		found := c.search(p, maxWaiting-len(c.waiting))
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -21,6 +21,7 @@
 	"github.com/wagtailspar/wagtailspar/wagmetrics"
 	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagroster"
 	"github.com/wagtailspar/wagtailspar/wagserver"
 	"github.com/wagtailspar/wagtailspar/wagsite"
@@ -128,8 +129,8 @@
 	obs := observer{log: s.log, metrics: s.metrics, shortages: newShortages(), now: s.clock.Now}
 	s.observer = obs
 	limits := waglimits.Derive(settings.MemoryBytes, settings.MaxFileDescriptors)
-	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader(), wagupstream.WithMaxConnections(limits.ServerConnections))
-	s.owner = wagowner.New(settings.DataCentre, &prober{host: s, protocol: protocol}, wagowner.WithClock(s.clock), wagowner.WithObserver(obs),
+	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader(), wagupstream.WithMaxConnections(limits.ServerConnections), wagupstream.WithLog(s.log.Logger()))
+	s.owner = wagowner.New(settings.DataCentre, &prober{host: s, protocol: protocol}, wagowner.WithClock(s.clock), wagowner.WithObserver(obs), wagowner.WithLog(s.log.Logger()),
 		wagowner.WithLimits(settings.Limits))
 	s.sync = wagsync.New(store, s.applyRecords, decoder.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()), wagsync.WithFirstStart(settings.FirstStart))
 	self := wagroster.Member{
@@ -192,7 +193,7 @@
 			s.log.Info(waglog.KindServer, waglog.Fields{"server": r.Name, "event": "gone", "revision": r.Revision})
 			continue
 		}
-		decoded, err := s.decoder.Decode(r, now)
+		decoded, err := s.decode(r, now)
 		if err != nil {
 			serversChanged = s.dropInvalid(r, err) || serversChanged
 			continue
@@ -221,6 +222,16 @@
 	}
 }
 
+// decode decodes an object of the store. A panic makes the object invalid: it would end
+// each host of the site, and again after each restart.
+func (s *SiteHost) decode(r wagmirror.Record, now time.Time) (object any, err error) {
+	err = wagpanic.Catch(s.log.Logger(), func() (err error) {
+		object, err = s.decoder.Decode(r, now)
+		return err
+	})
+	return object, err
+}
+
 // dropInvalid counts an object that cannot be decoded. An entry of a server names no
 // server any more then, and a configuration leaves the former one in force. It reports
 // whether a server was removed. s.mu must be held.
@@ -311,6 +322,7 @@
 		return 0
 	})
 	s.registerCustomerMetrics()
+	s.metrics.RegisterCounter("site_caught_panics_total", "Panics in the handling of messages of other processes.", func() float64 { return float64(wagpanic.Count()) })
 	s.metrics.RegisterCounter("site_connections_total", "Connections opened to servers.", func() float64 { return float64(s.upstream.Stats().Dialed) })
 	s.metrics.RegisterCounter("site_dropped_connections_total", "Kept connections to servers that broke when they were used again.", func() float64 { return float64(s.upstream.Stats().Dropped) })
 	s.metrics.RegisterGauge("site_server_connections", "Open connections to servers.", func() float64 { return float64(s.upstream.Stats().Open) })
--- a/waghost/site_test.go
+++ b/waghost/site_test.go
@@ -27,6 +27,9 @@
 	if r.Kind == "config" {
 		return wagsite.NewPartial(1, wagsite.Limits{}, nil, []wagsite.Route{{Name: "r1"}}), nil
 	}
+	if string(r.Body) == "poison" {
+		panic("unexpected entry")
+	}
 	address, err := netip.ParseAddrPort(string(r.Body))
 	if err != nil {
 		return nil, errors.New("the entry is invalid")
@@ -64,6 +67,18 @@
 	is.Equal(len(s.loggedFaults), 3) // two entries and one route
 }
 
+// Guards against one entry that ends the process of each host of a site, and again after
+// each restart.
+func TestPanicAtEntry(t *testing.T) {
+	is := is.New(t)
+	s := NewSiteHost(SiteSettings{Name: "edge-1", DataCentre: "a"}, noStore{}, fakeDecoder{}, nil)
+	s.applyRecords([]wagmirror.Record{
+		{Kind: "servers", Name: "odd", Revision: 1, Body: []byte("poison")}, {Kind: "servers", Name: "s1", Revision: 2, Body: []byte("10.0.0.1:80")},
+	})
+	is.Equal(len(s.servers), 1)
+	is.Equal(s.servers["s1"].Address.Port(), uint16(80))
+}
+
 // reportDecoder decodes objects whose body is the state and the sequence of a server.
 type reportDecoder struct{ fakeDecoder }
 
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -12,6 +12,7 @@
 
 	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 	"github.com/wagtailspar/wagtailspar/wagroster"
 )
@@ -269,7 +270,13 @@
 	l.mesh.addLink(l)
 	l.mesh.mu.Unlock()
 	for {
-		l.handleFrame(f)
+		err := wagpanic.Catch(l.mesh.log, func() error {
+			l.handleFrame(f)
+			return nil
+		})
+		if err != nil {
+			return err
+		}
 		if f, err = s.Recv(); err != nil {
 			return err
 		}
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -23,6 +23,7 @@
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/waglease"
 	"github.com/wagtailspar/wagtailspar/wagowner"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagroster"
 	"github.com/wagtailspar/wagtailspar/wagsync"
 )
@@ -184,7 +185,7 @@
 	if err := DRPCRegisterMesh(mux, &linkServer{mesh: m}); err != nil {
 		return err
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	server := drpcserver.NewWithOptions(wagpanic.RPCHandler(m.log, mux), drpcserver.Options{Manager: managerOptions()})
 	m.group, m.ctx = errgroup.WithContext(ctx)
 	m.sync.SetExpectation(m.expectation)
 	m.sync.SetConfirmationHandler(m.pushConfirmation)
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -10,9 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 	"github.com/wagtailspar/wagtailspar/wagquota"
 	"github.com/wagtailspar/wagtailspar/wagserver"
@@ -58,6 +60,7 @@
 	prober      Prober
 	placeRemote RemotePlaceFunc
 	observer    Observer
+	log         logrus.FieldLogger
 	// limits bounds the repeats and probes.
 	limits Limits
 	// dataCentre is the data centre whose servers the owner places requests on.
@@ -108,6 +111,9 @@
 // WithClock replaces the clock.
 func WithClock(c wagclock.Clock) Option { return func(o *Owner) { o.clock = c } }
 
+// WithLog replaces the standard logger.
+func WithLog(l logrus.FieldLogger) Option { return func(o *Owner) { o.log = l } }
+
 // Limits bounds the repeats of requests and the probes of servers in one server group.
 type Limits struct {
 	// Within any RetryWindow, repeats are limited to RetryRatio times the requests plus
@@ -151,7 +157,7 @@
 // New returns an owner without servers.
 func New(dataCentre string, prober Prober, opts ...Option) *Owner {
 	o := &Owner{
-		dataCentre: dataCentre, prober: prober, observer: discardObserver{}, placeRemote: func(context.Context, string, string, wagplacement.Request) Outcome { return nil },
+		dataCentre: dataCentre, prober: prober, observer: discardObserver{}, log: logrus.StandardLogger(), placeRemote: func(context.Context, string, string, wagplacement.Request) Outcome { return nil },
 		clock: wagclock.System{}, groups: make(map[string]*group), wake: make(chan struct{}, 1),
 		quota: quotas{links: localLinks{}, parts: make(map[partKey]*wagquota.Part), coordinators: make(map[int]*wagquota.Coordinator)},
 	}
@@ -228,7 +234,7 @@
 	return g
 }
 
-// Ticket identifies a request that was submitted.
+// Ticket identifies a request that was submitted. The zero value identifies none.
 type Ticket struct {
 	owner *Owner
 	group *group
@@ -277,6 +283,9 @@
 // has an outcome.
 func (t Ticket) Cancel() bool {
 	o := t.owner
+	if o == nil {
+		return false
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, waiting := t.group.waiters[t.id]; !waiting {
@@ -366,7 +375,11 @@
 	defer cancel()
 	foreign := x.Request
 	foreign.Foreign = true
-	outcome := o.placeRemote(ctx, x.DataCentre, g.service, foreign)
+	var outcome Outcome
+	_ = wagpanic.Catch(o.log, func() error { // logs the error; no outcome counts as silence
+		outcome = o.placeRemote(ctx, x.DataCentre, g.service, foreign)
+		return nil
+	})
 	o.mu.Lock()
 	now := o.clock.Now()
 	granted, ok := outcome.(Granted)
@@ -393,7 +406,11 @@
 func (o *Owner) probe(g *group, p wagplacement.Probe) {
 	ctx, cancel := context.WithDeadline(context.Background(), p.Deadline)
 	defer cancel()
-	r := o.prober.Probe(ctx, p.Server)
+	r := wagplacement.Result{Fault: wagplacement.FaultBroken}
+	_ = wagpanic.Catch(o.log, func() error { // logs the error
+		r = o.prober.Probe(ctx, p.Server)
+		return nil
+	})
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.observer.ObserveProbe(p.Server, r)
--- a/wagowner/wagowner_test.go
+++ b/wagowner/wagowner_test.go
@@ -51,7 +51,7 @@
 }
 
 // runOwner runs f with a running owner in a synctest bubble.
-func runOwner(t *testing.T, p *prober, f func(is *is.I, o *Owner)) {
+func runOwner(t *testing.T, p Prober, f func(is *is.I, o *Owner)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		o := New("a", p)
--- a/wagpeer/wagpeer.go
+++ b/wagpeer/wagpeer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
@@ -17,6 +18,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/wagtailspar/wagtailspar/wagevent"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagrollout"
 	"github.com/wagtailspar/wagtailspar/wagserver"
 )
@@ -65,7 +67,7 @@
 	if err := DRPCRegisterPeer(mux, &validatingService{handler: h}); err != nil {
 		return nil, errors.WithMessage(err, "register the peer service")
 	}
-	s := &Server{server: drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()}), freeSlots: make(chan struct{}, connections)}
+	s := &Server{server: drpcserver.NewWithOptions(wagpanic.RPCHandler(logrus.StandardLogger(), mux), drpcserver.Options{Manager: managerOptions()}), freeSlots: make(chan struct{}, connections)}
 	for range connections {
 		s.freeSlots <- struct{}{}
 	}
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -15,6 +15,7 @@
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagmirror"
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 	"github.com/wagtailspar/wagtailspar/wagstore"
 )
 
@@ -295,7 +296,7 @@
 // list reads all objects of a kind from the store.
 func (s *Sync) list(ctx context.Context, kind string) error {
 	began := s.clock.Now()
-	u, err := s.store.List(ctx, kind)
+	u, err := s.call(func() (wagmirror.Update, error) { return s.store.List(ctx, kind) })
 	if err != nil {
 		return err
 	}
@@ -304,6 +305,15 @@
 	return nil
 }
 
+// call makes a request to the store. A panic in the handling of its response is an error.
+func (s *Sync) call(request func() (wagmirror.Update, error)) (u wagmirror.Update, err error) {
+	err = wagpanic.Catch(s.log, func() (err error) {
+		u, err = request()
+		return err
+	})
+	return u, err
+}
+
 // watchOnce makes one watch and applies the update. The first watch does not wait for
 // changes, nor does one after a failure, so that its success is known at once.
 func (s *Sync) watchOnce(ctx context.Context, kind string, f *kindState, after wagmirror.Revision) error {
@@ -321,7 +331,7 @@
 		f.cancelWatch = cancel
 	}
 	s.mu.Unlock()
-	u, err := s.store.Watch(watchCtx, kind, after, deadline)
+	u, err := s.call(func() (wagmirror.Update, error) { return s.store.Watch(watchCtx, kind, after, deadline) })
 	s.mu.Lock()
 	f.cancelWatch = nil
 	wasCanceled := err != nil && watchCtx.Err() != nil && ctx.Err() == nil
--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -500,3 +501,29 @@
 	is.True(early > hosts/3)
 	is.True(early < hosts)
 }
+
+// panickingStore panics at the first requests.
+type panickingStore struct {
+	*store
+	panics atomic.Int64
+}
+
+func (s *panickingStore) List(ctx context.Context, kind string) (wagmirror.Update, error) {
+	if s.panics.Add(-1) >= 0 {
+		panic("unexpected response")
+	}
+	return s.store.List(ctx, kind)
+}
+
+// Guards against a response of the store that ends the process of a host: the request is
+// repeated like any other that failed.
+func TestPanicAtResponseOfStore(t *testing.T) {
+	run(t, func(is *is.I, x *fixture) {
+		s := &panickingStore{store: x.store}
+		s.panics.Store(3)
+		x.sync.store = s
+		at := x.store.put("config", "main")
+		sleep(10 * maxFirstReadDelay)
+		is.Equal(x.revisionOf("config/main"), at)
+	})
+}
--- a/wagupstream/exchange.go
+++ b/wagupstream/exchange.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/wagtailspar/wagtailspar/wagpanic"
 )
 
 // maxMismatched bounds the responses to earlier requests that are skipped on one
@@ -33,7 +35,14 @@
 	p.updateStats(func(s *Stats) { s.Exchanges++ })
 	stop := context.AfterFunc(ctx, c.close)
 	x := &exchange{pool: p, server: s, conn: c, stop: stop}
+	panicked := true
+	defer func() {
+		if panicked {
+			c.close()
+		}
+	}()
 	resp, err = x.run(r)
+	panicked = false
 	if err != nil {
 		x.finish(false)
 		if reused && ctx.Err() == nil && !p.now().Before(c.shortIdleUntil) {
@@ -80,7 +89,8 @@
 	} else {
 		x.sent = make(chan struct{})
 		x.writer.Go(func() error {
-			err := c.writeLong(r)
+			// The body comes from a caller.
+			err := wagpanic.Catch(x.pool.log, func() error { return c.writeLong(r) })
 			if err != nil {
 				// The server must not wait for the rest of the body.
 				c.close()
--- a/wagupstream/pool.go
+++ b/wagupstream/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -39,6 +40,7 @@
 	dialer   Dialer
 	idHeader string
 	now      func() time.Time
+	log      logrus.FieldLogger
 
 	mu sync.Mutex
 	// cooldownUntil is until when requests that must not be sent again reuse
@@ -82,6 +84,9 @@
 // WithNow replaces the system clock.
 func WithNow(now func() time.Time) Option { return func(p *Pool) { p.now = now } }
 
+// WithLog replaces the standard logger.
+func WithLog(l logrus.FieldLogger) Option { return func(p *Pool) { p.log = l } }
+
 // WithMaxConnections bounds the connections that are open at the same time; 0 means no
 // bound.
 func WithMaxConnections(n int) Option { return func(p *Pool) { p.maxConnections = n } }
@@ -89,7 +94,7 @@
 // NewPool returns an empty pool. idHeader names the header in which servers echo the ID
 // of a request.
 func NewPool(idHeader string, opts ...Option) *Pool {
-	p := &Pool{dialer: &net.Dialer{KeepAlive: keepAliveDisabled}, idHeader: idHeader, now: time.Now, idle: make(map[Server][]*conn)}
+	p := &Pool{dialer: &net.Dialer{KeepAlive: keepAliveDisabled}, idHeader: idHeader, now: time.Now, log: logrus.StandardLogger(), idle: make(map[Server][]*conn)}
 	p.restrictions.byServer = make(map[Server]storedRestriction)
 	for _, o := range opts {
 		o(p)
