--- a/wagclock/wagclock.go
+++ b/wagclock/wagclock.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -179,3 +180,19 @@
 		delete(m.timers, t)
 	}
 }
+
+// FromNanoseconds converts a calculated number of nanoseconds. A plain conversion of a
+// number that a Duration cannot hold gives a result that depends on the processor; here it
+// gives the longest or the shortest Duration, and 0 for a NaN.
+func FromNanoseconds(n float64) time.Duration {
+	switch {
+	case math.IsNaN(n):
+		return 0
+	case n >= math.MaxInt64:
+		return math.MaxInt64
+	case n <= math.MinInt64:
+		return math.MinInt64
+	default:
+		return time.Duration(n)
+	}
+}
--- a/waggateway/serve.go
+++ b/waggateway/serve.go
@@ -135,5 +135,5 @@
 }
 
 func fraction(d time.Duration, share float64) time.Duration {
-	return time.Duration(float64(d) * share)
+	return wagclock.FromNanoseconds(float64(d) * share)
 }
--- a/waggateway/usage.go
+++ b/waggateway/usage.go
@@ -74,7 +74,7 @@
 // headLimit returns how many bytes net/http may read for one head.
 func (g *Gateway) headLimit() int {
 	if c := g.config.Load(); c != nil && c.Limits.HeaderBytes > 0 {
-		return c.Limits.HeaderBytes + readBufferBytes
+		return min(c.Limits.HeaderBytes, maxHeaderBytes) + readBufferBytes
 	}
 	return maxHeaderBytes
 }
--- a/wagplacement/admission.go
+++ b/wagplacement/admission.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
 )
 
 const (
@@ -65,7 +67,7 @@
 	if l.meanHoldTime == 0 {
 		l.meanHoldTime = d
 	}
-	l.meanHoldTime += time.Duration(holdTimeWeight * float64(d-l.meanHoldTime))
+	l.meanHoldTime += wagclock.FromNanoseconds(holdTimeWeight * float64(d-l.meanHoldTime))
 }
 
 // countSlots estimates how many requests like w the group can run at once, and how many
@@ -103,7 +105,7 @@
 	if missingSlots <= 0 {
 		return 0
 	}
-	wait := time.Duration(missingSlots / slots.all * float64(slots.holdTime))
+	wait := wagclock.FromNanoseconds(missingSlots / slots.all * float64(slots.holdTime))
 	if slots.isHeldBack() {
 		wait = max(wait, slots.nextFree.Sub(now))
 	}
@@ -151,7 +153,7 @@
 		return false
 	}
 	if spare := sc.spareRate(now, w); spare > 0 && wait < noServerWait {
-		lateWait := time.Duration(float64(ahead+1) / spare * float64(time.Second))
+		lateWait := wagclock.FromNanoseconds(float64(ahead+1) / spare * float64(time.Second))
 		if !now.Add(lateWait).After(w.latestStartForDeadline()) {
 			return true
 		}
--- a/wagplacement/choose.go
+++ b/wagplacement/choose.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
 )
 
 const (
@@ -162,11 +164,11 @@
 		if isAboveKnee(occupied+1, s.Slots) {
 			slowness *= sc.knee.slowdown()
 		}
-		expected := time.Duration(slowness * float64(w.route.serviceTime))
+		expected := wagclock.FromNanoseconds(slowness * float64(w.route.serviceTime))
 		if !isLate && slowness > slowThreshold && now.Add(expected).After(w.Goal) {
 			continue
 		}
-		if now.Add(time.Duration(slowness * float64(w.capEstimate(w.route.serviceTime)))).After(w.Deadline) {
+		if now.Add(wagclock.FromNanoseconds(slowness * float64(w.capEstimate(w.route.serviceTime)))).After(w.Deadline) {
 			continue
 		}
 		cost := float64(occupied)/float64(s.Slots) + slownessWeight*(slowness-1)
--- a/wagplacement/cold.go
+++ b/wagplacement/cold.go
@@ -248,7 +248,7 @@
 		return now
 	}
 	// Rounded up, so that the token is there.
-	return now.Add(time.Duration(missing/sc.cold.rate*float64(time.Second)) + 1)
+	return now.Add(wagclock.FromNanoseconds(missing / sc.cold.rate * float64(time.Second))).Add(1)
 }
 
 // capacity is how many requests a group or a server can run.
--- a/wagplacement/hedge.go
+++ b/wagplacement/hedge.go
@@ -1,6 +1,10 @@
 package wagplacement
 
-import "time"
+import (
+	"time"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
+)
 
 const (
 	// hedgeDelayFactor is the delay before a hedge in mean service times. By then 95 of
@@ -34,7 +38,7 @@
 	if delay < minHedgeDelayFactor*serviceTime {
 		delay = lateHedgeDelayFactor * serviceTime * g.slowness
 	}
-	return time.Duration(delay)
+	return wagclock.FromNanoseconds(delay)
 }
 
 // admitHedge decides on a second attempt of a request that still runs on another
--- a/wagplacement/knee.go
+++ b/wagplacement/knee.go
@@ -3,7 +3,8 @@
 import "math"
 
 // Some servers get slower when most of their slots are in use, so that they finish
-// less with more requests at once. The knee is the load above which that happens.// Whether the servers of a service have one is measured.
+// less with more requests at once. The knee is the load above which that happens.
+// Whether the servers of a service have one is measured.
 const (
 	// kneeShare is the share of the slots above which servers were seen to get slower.
 	kneeShare = 0.8
@@ -50,7 +51,9 @@
 
 // slowdown returns how much longer requests above the knee take, as a factor.
 func (k *knee) slowdown() float64 {
-	if k.samples < minKneeSamples {
+	if k.samples < minKneeSamples || k.meanBelow == 0 {
+		// Without requests below the knee, as at servers with one slot, there is nothing to
+		// compare with.
 		return 1
 	}
 	return max(k.meanAbove/k.meanBelow, 1)
--- a/wagplacement/routes.go
+++ b/wagplacement/routes.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
 )
 
 const (
@@ -44,7 +46,7 @@
 func (sc *Scheduler) routeStats(name string, timeToGoal time.Duration) *routeStats {
 	r, ok := sc.routes[name]
 	if !ok {
-		r = &routeStats{serviceTime: max(time.Duration(initialGoalShare*float64(timeToGoal)), time.Millisecond)}
+		r = &routeStats{serviceTime: max(wagclock.FromNanoseconds(initialGoalShare*float64(timeToGoal)), time.Millisecond)}
 		sc.routes[name] = r
 	}
 	return r
@@ -52,7 +54,7 @@
 
 // expectedTime returns the time that most requests need on a server that is not slow.
 func (r *routeStats) expectedTime() time.Duration {
-	return time.Duration(serviceTimeMargin * float64(r.serviceTime))
+	return wagclock.FromNanoseconds(serviceTimeMargin * float64(r.serviceTime))
 }
 
 // updateEstimates adds the latency of a request that was answered.
@@ -64,6 +66,6 @@
 	if r.requests > 1 {
 		serviceTime = min(serviceTime, maxServiceTimeRatio*float64(r.serviceTime))
 	}
-	r.serviceTime += time.Duration(weight * (serviceTime - float64(r.serviceTime)))
+	r.serviceTime += wagclock.FromNanoseconds(weight * (serviceTime - float64(r.serviceTime)))
 	sc.knee.update(g, g.kneeFactor*float64(latency)/max(float64(g.expectedLatency(1)), 1))
 }
--- a/wagplacement/scheduler.go
+++ b/wagplacement/scheduler.go
@@ -5,6 +5,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagserver"
 )
 
@@ -198,7 +199,7 @@
 
 // expectedLatency returns a multiple of the latency that is expected of the request.
 func (g *grant) expectedLatency(multiple float64) time.Duration {
-	return time.Duration(multiple * g.slowness * g.kneeFactor * float64(g.route.serviceTime))
+	return wagclock.FromNanoseconds(multiple * g.slowness * g.kneeFactor * float64(g.route.serviceTime))
 }
 
 // latencyRatio returns a latency as a multiple of the expected latency, at most
--- a/wagplacement/servers.go
+++ b/wagplacement/servers.go
@@ -300,10 +300,28 @@
 		return
 	}
 	s.withoutReports = false
-	s.report, s.reportedAt, s.grantedSinceReport = r.Report, now, 0
-	if r.Report.Slowness == 0 {
-		s.report.Slowness = 1
+	s.report, s.reportedAt, s.grantedSinceReport = r.Report.bounded(), now, 0
+}
+
+const (
+	// maxReported bounds the requests and slots that a server reports, so that sums of
+	// them stay numbers of requests. Servers have at most some thousand slots.
+	maxReported = 1 << 20
+	// maxReportedSlowness bounds the reported slowness. No request waits for a server that
+	// is so slow.
+	maxReportedSlowness = 1e4
+)
+
+// bounded returns the report with each figure in its range. A slowness that is missing or
+// no number is 1.
+func (r Report) bounded() Report {
+	bound := func(n int) int { return min(max(n, 0), maxReported) }
+	r.Running, r.Waiting, r.Slots = bound(r.Running), bound(r.Waiting), bound(r.Slots)
+	if !(r.Slowness > 0) {
+		r.Slowness = 1
 	}
+	r.Slowness = min(r.Slowness, maxReportedSlowness)
+	return r
 }
 
 // recordFailure excludes the server for a while.
--- a/wagquota/bucket.go
+++ b/wagquota/bucket.go
@@ -1,6 +1,10 @@
 package wagquota
 
-import "time"
+import (
+	"time"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
+)
 
 // bucket is a token bucket. Its tokens may be negative.
 type bucket struct {
@@ -25,7 +29,7 @@
 	case rate <= 0:
 		return uncountedOutTime
 	default:
-		return min(time.Duration((1-b.tokens)/rate*float64(time.Second))+time.Millisecond, maxOutTime)
+		return min(wagclock.FromNanoseconds((1-b.tokens)/rate*float64(time.Second)), maxOutTime-time.Millisecond) + time.Millisecond
 	}
 }
 
--- a/wagupstream/conn.go
+++ b/wagupstream/conn.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
 )
 
 const (
@@ -239,7 +241,7 @@
 		name, value, _ := strings.Cut(strings.TrimSpace(word), "=")
 		seconds, err := strconv.Atoi(value)
 		if err == nil && strings.EqualFold(name, "timeout") && seconds >= 0 {
-			return min(time.Duration(float64(seconds)*idleTimeoutFraction*float64(time.Second)), maxIdleTimeout)
+			return min(wagclock.FromNanoseconds(float64(seconds)*idleTimeoutFraction*float64(time.Second)), maxIdleTimeout)
 		}
 	}
 	return maxIdleTimeout
--- a/wagupstream/length_test.go
+++ b/wagupstream/length_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -63,3 +64,12 @@
 		}
 	}
 }
+
+// Guards against idle connections that are dropped at once, or kept for good, because the
+// stated idle timeout cannot be held.
+func TestLongestIdleTimeout(t *testing.T) {
+	is := is.New(t)
+	for _, seconds := range []int64{1 << 32, math.MaxInt64 / int64(time.Second), math.MaxInt64 - 1, math.MaxInt64} {
+		is.Equal(idleTimeoutFor(http.Header{"Keep-Alive": {fmt.Sprint("timeout=", seconds)}}), maxIdleTimeout)
+	}
+}
