wagquota: Grant credit for limits that no whole number can hold

A customer whose ratePerS or burst is 1e19 or more was refused with 429, although that means nearly no limit.

Cause: the tokens of its bucket, a float, were converted to an int before the least of three numbers was taken. On x86-64 the result is the smallest int, so that the credit was negative. The least number is found first now; it is at most the wanted credit.

TestLargestLimit: red before, with burst 1<<63 ("not true: r.Acks[0].Credit >= 3").

--- a/wagquota/coordinator.go
+++ b/wagquota/coordinator.go
@@ -186,7 +186,8 @@
 	want := charge.Waiting + int(math.Floor(a.demand*creditTime.Seconds())) - charge.Left
 	if want > 0 && b.tokens >= 1 {
 		fair := math.Ceil(b.tokens * a.demand / max(c.demand(now, charge.Customer), a.demand, 1e-9))
-		ack.Credit = min(want, int(b.tokens), max(int(fair), 1))
+		// Converted last: a limit without bounds has more tokens than an int can hold.
+		ack.Credit = int(min(float64(want), b.tokens, max(fair, 1)))
 		b.tokens -= float64(ack.Credit)
 	}
 	if b.tokens < 1 {
--- a/wagquota/part_test.go
+++ b/wagquota/part_test.go
@@ -1,6 +1,7 @@
 package wagquota
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -142,3 +143,22 @@
 	}
 	is.True(admitted >= 8 && admitted <= 11) // minorityShare of a quarter of the rate for 6 s
 }
+
+// Guards against a customer with an unbounded limit that gets no credit, and is refused,
+// because its tokens are more than a whole number can hold.
+func TestLargestLimit(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for _, x := range []float64{1 << 53, 1 << 63, 1e300, math.MaxFloat64} {
+		c := NewCoordinator(now)
+		c.SetLimits(now, Limits{"large": {Rate: x, Burst: x}}, 1)
+		r := c.Handle(now, Report{Part: "a", Sender: "a1", Number: 1, IsOwner: true})
+		later := now.Add(LeaseTime / 2) // the part is counted from the second report on
+		c.Handle(later, Report{Part: "a", Sender: "a1", Number: 2, IsOwner: true, Echo: r.Stamp})
+		later = later.Add(LeaseTime / 4)
+		r = c.Handle(later, Report{Part: "a", Sender: "a1", Number: 3, IsOwner: true, Charges: []Charge{{Customer: "large", Total: 1, Demand: 5, Waiting: 3}}})
+		is.Equal(len(r.Acks), 1)
+		is.True(r.Acks[0].Credit >= 3)
+		is.Equal(r.Acks[0].OutFor, time.Duration(0))
+	}
+}
