waggateway: Send late requests of a planned stop only if their deadline is within it

Cause: a late request was sent if twice the longest remembered work of its route fits into the grace period. Two related ways in: a request counted as late by its head, although its body may end seconds later, and by the time at which the process noticed the signal instead of the signal itself.

A late request is sent now only if its own deadline lies within the grace period, less the time for the response. It is late by its last byte; a body that is passed on while it arrives has no known end, so that it counts as late from the beginning of the stop. 250 ms are allowed for the signal. Refusals are truthful, as nothing was sent, and other hosts are in rotation by then. In time, a request that may not be repeated is refused if the longest remembered work of its route would be cut off.

Tests changed: TestLateRequestDuringPlannedStop and TestLateRequestOnLateConnection wanted a late request to be sent if earlier work was short, which is the fault. They want 503 there now, and have further cases: deadline within the grace (200), in time (200), a signal that is noticed late (503).

--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -49,6 +49,9 @@
 	service  string
 	id       string
 	arrived  time.Time
+	// received is when the body was complete, or its beginning that is kept; the time of
+	// arrival until then.
+	received time.Time
 	// deadline is the earlier one of the caller's deadline and the timeout of the
 	// route. The request ends then, with or without the response of a server.
 	deadline time.Time
@@ -198,7 +201,7 @@
 	}
 	q := &request{
 		gateway: g, incoming: r, route: route, service: route.SelectService(g.nextNumber(route.Name)),
-		id: g.protocol.RequestID(r.Header), configVersion: config.Version, arrived: now, deadline: now.Add(route.Timeout),
+		id: g.protocol.RequestID(r.Header), configVersion: config.Version, arrived: now, received: now, deadline: now.Add(route.Timeout),
 		key: key, access: access,
 	}
 	if callerTimeout, ok := g.protocol.CallerTimeout(r.Header); ok {
@@ -213,6 +216,10 @@
 		q.releaseBody()
 		return nil, *rejection
 	}
+	if q.mustRefuse(q.received) {
+		q.releaseBody()
+		return nil, q.shutdownResponse()
+	}
 	return q, response{}
 }
 
@@ -269,7 +276,7 @@
 	case err != nil:
 		return &response{status: http.StatusBadRequest, outcome: OutcomeRejected, reason: "bodyBroken"}
 	}
-	q.body = body
+	q.body, q.received = body, q.gateway.clock.Now()
 	q.releaseSurplus(int64(cap(body)))
 	return nil
 }
--- a/waggateway/serve.go
+++ b/waggateway/serve.go
@@ -29,9 +29,11 @@
 	// finishFraction is the fraction of the grace period after which the remaining
 	// connections are closed, even with requests in flight.
 	finishFraction = 0.95
-	// lateAfter is how long after the beginning of a shutdown a request counts as late: the
+	// lateAfter is how long after the signal to shut down a request counts as late: the
 	// platform has noticed the shutdown by then.
 	lateAfter = 3 * time.Second
+	// signalSlack is how long after the signal the shutdown may begin on a busy host.
+	signalSlack = 250 * time.Millisecond
 	// drainCheckInterval is how often a host that shuts down closes unused connections.
 	drainCheckInterval = 50 * time.Millisecond
 	// firstRequestTimeout bounds how long a host that shuts down waits for the first
@@ -107,8 +109,8 @@
 // until its end: http.Server.Shutdown would drop one that it has just read.
 func (g *Gateway) shutDown(l net.Listener, conns *connTracker, options ShutdownOptions) {
 	start := g.clock.Now()
-	closeAt := start.Add(fraction(options.GracePeriod, finishFraction))
-	g.shutdown.Store(&shutdownTimes{lateFrom: wagclock.Earlier(start.Add(lateAfter), closeAt), closeAt: closeAt})
+	times := newShutdownTimes(start, options.GracePeriod)
+	g.shutdown.Store(times)
 	g.shuttingDown.Store(true)
 	g.log.Info("planned stop")
 	if options.Announce != nil {
@@ -126,7 +128,7 @@
 			g.log.Info("all connections of callers are closed")
 			return
 		}
-		if !now.Before(closeAt) {
+		if !now.Before(times.closeAt) {
 			g.log.WithField("open", remaining).Warning("graceful shutdown ended with open connections of callers")
 			return
 		}
--- a/waggateway/serve_test.go
+++ b/waggateway/serve_test.go
@@ -58,8 +58,11 @@
 }
 
 // sendRequest sends a request on a connection and returns the response.
-func sendRequest(c net.Conn) (*http.Response, error) {
-	if _, err := io.WriteString(c, "GET /status/1 HTTP/1.1\r\nHost: a.example\r\nId: r1\r\n\r\n"); err != nil {
+func sendRequest(c net.Conn) (*http.Response, error) { return sendRequestFor(c, testCallerTimeout) }
+
+// sendRequestFor sends a request of a caller that waits for a number of milliseconds.
+func sendRequestFor(c net.Conn, timeout string) (*http.Response, error) {
+	if _, err := io.WriteString(c, "GET /status/1 HTTP/1.1\r\nHost: a.example\r\nId: r1\r\nPatience: "+timeout+"\r\n\r\n"); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
--- a/waggateway/shutdown.go
+++ b/waggateway/shutdown.go
@@ -3,12 +3,16 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/wagtailspar/wagtailspar/wagclock"
 )
 
 // shutdownTimes are the times of a graceful shutdown.
 type shutdownTimes struct {
-	// lateFrom is when requests begin to be refused that might not end in time.
+	// lateFrom is from when on requests are refused that are not certain to end by answerBy.
 	lateFrom time.Time
+	// answerBy is when the last responses have to be written.
+	answerBy time.Time
 	// closeAt is when the connections that remain are closed.
 	closeAt time.Time
 }
@@ -17,42 +21,47 @@
 	// durationWindow is the time for which the longest work of a route is remembered at
 	// least.
 	durationWindow = 30 * time.Second
-	// durationMargin is by how much longer than the longest remembered work a request may
-	// take, because its servers differ and it may wait for a slot.
-	durationMargin = 2
 	// maxRoutesWithDurations bounds the routes whose work is remembered.
 	maxRoutesWithDurations = 4096
 	// responseSlack is the time that a response needs on its way from the server to the
-	// caller, in addition to the work.
+	// caller, in addition to the work. It lies between answerBy and closeAt.
 	responseSlack = 100 * time.Millisecond
 )
 
-// endsBefore reports whether a request that arrives now is known to end by a time: its
-// deadline has passed by then, or the work of its route takes far less.
-func (q *request) endsBefore(end time.Time) bool {
-	if !q.deadline.After(end) {
-		return true
+// newShutdownTimes returns the times of a graceful shutdown that begins at a time.
+func newShutdownTimes(start time.Time, gracePeriod time.Duration) *shutdownTimes {
+	closeAt := start.Add(fraction(gracePeriod, finishFraction))
+	return &shutdownTimes{
+		lateFrom: wagclock.Earlier(start.Add(lateAfter-signalSlack), closeAt), answerBy: wagclock.Later(closeAt.Add(-responseSlack), start), closeAt: closeAt,
 	}
-	longest, known := q.gateway.durations.longest(q.arrived, q.route.Name)
-	return known && !q.arrived.Add(durationMargin*longest).After(end)
 }
 
-// mustRefuse reports whether a request that has not been sent must be refused at a time
-// because of a graceful shutdown, so that its caller can ask another host at once: even the
-// shortest work of its route would be cut off, or it comes late and might be.
+// mustRefuse reports whether a request that is not at a server must not be sent to one at a
+// time because of a graceful shutdown, so that its caller can ask another host at once.
+// Other callers have long been sent to other hosts when it comes late, so that it is sent
+// only if its deadline lies within the grace period: whatever is known of earlier work, its
+// own may take longer. A request that comes in time is sent unless the work of its route is
+// known to be cut off: even the shortest, or the longest when only one attempt is allowed,
+// as the caller could not tell whether the request ran.
 func (q *request) mustRefuse(now time.Time) bool {
 	s := q.gateway.shutdown.Load()
-	switch {
-	case s == nil:
+	if s == nil || !q.deadline.After(s.answerBy) {
 		return false
-	case !q.arrived.Before(s.lateFrom):
-		return !q.endsBefore(s.closeAt)
-	case !q.deadline.After(s.closeAt):
-		return false
-	default:
-		shortest, known := q.gateway.durations.shortest(now, q.route.Name)
-		return known && now.Add(shortest+responseSlack).After(s.closeAt)
 	}
+	if !q.received.Before(s.lateFrom) || q.hasLongBody() {
+		return true
+	}
+	work, known := q.gateway.durations.shortest(now, q.route.Name)
+	if !q.route.Idempotent {
+		work, known = q.gateway.durations.longest(now, q.route.Name)
+	}
+	return known && now.Add(work).After(s.answerBy)
+}
+
+// hasLongBody reports whether the body is passed on while it arrives, so that its end may
+// come late.
+func (q *request) hasLongBody() bool {
+	return q.bodyRest != nil || q.incoming.ContentLength > maxBufferedBody
 }
 
 // durationRange holds the shortest work that was answered and the longest work of a route.
--- a/waggateway/shutdown_test.go
+++ b/waggateway/shutdown_test.go
@@ -9,7 +9,8 @@
 )
 
 // Guards against a request that comes late in a planned stop, is sent to a server and
-// then cut off without an answer: it could not end within the grace period.
+// then cut off without an answer (case 9 of the review): that earlier work of its route was
+// short does not bound its own.
 func TestLateRequestDuringPlannedStop(t *testing.T) {
 	const closeIn = time.Second // less than testTimeout, the deadline of the requests
 	for name, c := range map[string]struct {
@@ -22,7 +23,8 @@
 	}{
 		"work is not known":            {lateFor: time.Second, status: 503},
 		"work is too long":             {lateFor: time.Second, work: 900 * time.Millisecond, status: 503},
-		"work is short":                {lateFor: time.Second, work: 50 * time.Millisecond, status: 200},
+		"work is mostly short":         {lateFor: time.Second, work: 50 * time.Millisecond, status: 503},
+		"just late":                    {lateFor: 0, work: time.Millisecond, status: 503},
 		"deadline is within the grace": {lateFor: time.Second, work: 900 * time.Millisecond, closeIn: 2 * testTimeout, status: 200},
 		"request is not late":          {lateFor: -time.Second, status: 200},
 		"not late, work is short":      {lateFor: -time.Second, work: 50 * time.Millisecond, status: 200},
@@ -38,7 +40,7 @@
 				if c.closeIn > 0 {
 					end = now.Add(c.closeIn)
 				}
-				f.gateway.shutdown.Store(&shutdownTimes{lateFrom: now.Add(-c.lateFor), closeAt: end})
+				f.gateway.shutdown.Store(&shutdownTimes{lateFrom: now.Add(-c.lateFor), answerBy: end.Add(-responseSlack), closeAt: end})
 				f.gateway.shuttingDown.Store(true)
 				if c.work > 0 {
 					f.gateway.durations.record(now, "commit", c.work, true)
@@ -58,24 +60,59 @@
 	}
 }
 
-// Guards against the same on a connection that was opened before the listener closed.
+// Guards against the same on a connection that was opened before the listener closed, with
+// the times of a running host.
 func TestLateRequestOnLateConnection(t *testing.T) {
-	is := is.New(t)
 	const grace = 5 * time.Second
-	r := newRunningGateway(t, grace)
-	r.shutDown()
-	<-r.announced
-	r.clock.Advance(fraction(grace, acceptFraction) - 100*time.Millisecond)
-	late := r.dial()
-	resp, err := sendRequest(r.dial()) // accepted after the other one
-	is.NoErr(err)
-	is.Equal(resp.StatusCode, http.StatusOK) // not late
-	r.clock.Advance(lateAfter - fraction(grace, acceptFraction) + 200*time.Millisecond)
-	resp, err = sendRequest(late)
-	is.NoErr(err)
-	is.Equal(resp.StatusCode, http.StatusOK) // the work is known to be short
-	is.True(resp.Close)
-	r.awaitEnd()
+	for name, c := range map[string]struct {
+		// sentAfter is the time between the signal and the request, signalDelay the time
+		// between the signal and the beginning of the shutdown.
+		sentAfter, signalDelay time.Duration
+		timeout                string
+		status                 int
+	}{
+		"late":                        {lateAfter + 10*time.Millisecond, 0, testCallerTimeout, http.StatusServiceUnavailable},
+		"late, signal noticed late":   {lateAfter + 10*time.Millisecond, signalSlack, testCallerTimeout, http.StatusServiceUnavailable},
+		"late, ends within the grace": {lateAfter + 10*time.Millisecond, 0, "1000", http.StatusOK},
+		"in time":                     {lateAfter - signalSlack - 10*time.Millisecond, 0, testCallerTimeout, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRunningGateway(t, grace)
+			r.shutDown()
+			<-r.announced
+			r.clock.Advance(fraction(grace, acceptFraction) - 100*time.Millisecond)
+			late := r.dial()
+			resp, err := sendRequest(r.dial()) // accepted after the other one
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK) // the work is known to be short from now on
+			r.clock.Advance(c.sentAfter - c.signalDelay - fraction(grace, acceptFraction) + 100*time.Millisecond)
+			resp, err = sendRequestFor(late, c.timeout)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, c.status)
+			is.True(resp.Close)
+			r.awaitEnd()
+		})
+	}
+}
+
+// Guards against a request that comes in time, may not be repeated and is sent to a server
+// although some work of its route would be cut off, and against one that is refused although
+// its caller may repeat it.
+func TestRequestInTimeDuringPlannedStop(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, newTestServer(t, "a", responseOK))
+	now := time.Now()
+	f.gateway.shutdown.Store(&shutdownTimes{lateFrom: now.Add(time.Second / 2), answerBy: now.Add(time.Second), closeAt: now.Add(time.Second)})
+	f.gateway.shuttingDown.Store(true)
+	for _, route := range []string{"commit", "status"} {
+		f.gateway.durations.record(now, route, time.Millisecond, true)
+		f.gateway.durations.record(now, route, 2*time.Second, true)
+	}
+	resp, _ := f.send(t, "POST", "/commit/1", nil)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	resp, _ = f.send(t, "GET", "/status/1", nil)
+	is.Equal(resp.StatusCode, http.StatusOK)
 }
 
 // Guards against work that is forgotten while its route is in use, remembered for good,
