waggateway: Answer requests that wait before a planned stop closes their connections

They had reached no server, and any other host could have served them.

Cause: a planned stop checked a request before it was placed and after a server was granted; nothing ended the wait between. Every other wait had the same gap: the pause before another try, a second server after a failure or beside the first, the body, and answers behind another one on the connection. An error response that was kept while another server was tried was lost, too.

The gateway keeps the requests in flight and looks at them every 50 ms of a stop. Bodies that will come too late are refused.

TestWaitsDuringPlannedStop: before, 12 of 12 cases failed ("unexpected EOF", 11 times). TestPipelinedAnswersDuringPlannedStop and TestManyWaitsDuringPlannedStop failed. TestWaitForSlotDuringPlannedStop with real processes: before, 4 of 4 "was read and got no response (unexpected EOF, 5.73s after SIGTERM)"; now 4 of 4 refused with 503.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -18,6 +18,9 @@
 const (
 	reasonCallerLeft = "callerLeft"
 	reasonDeadline   = "deadline"
+	// reasonShuttingDown means that the grace period of this host ended, also of requests
+	// that were not sent.
+	reasonShuttingDown = "shuttingDown"
 	// reasonRestricted means that the server had asked this host for no requests.
 	reasonRestricted = "restricted"
 	// reasonPanic means that the handling of the response panicked.
@@ -164,6 +167,9 @@
 		}
 		switch r.Fault {
 		case wagplacement.FaultCanceled:
+			if q.cutOff.Load() {
+				return r, reasonShuttingDown
+			}
 			return r, reasonCallerLeft
 		case wagplacement.FaultTimeout:
 			return r, reasonDeadline
--- a/waggateway/hedge.go
+++ b/waggateway/hedge.go
@@ -50,7 +50,7 @@
 	case <-fired:
 	}
 	q.avoidServers = append(q.avoidServers, granted.Server.ID)
-	secondGrant, ended := h.placeSecond(ctx)
+	secondGrant, ended := h.placeSecond()
 	if ended != nil {
 		q.finish(ended)
 		return ended
@@ -74,9 +74,9 @@
 // placeSecond asks for a second server until the first attempt ends, which it returns then.
 // An answer that is there must not wait for a server: the slot that its attempt still holds
 // may be the one that the second attempts of many requests wait for.
-func (h *hedge) placeSecond(ctx context.Context) (second wagowner.Granted, ended *attempt) {
+func (h *hedge) placeSecond() (second wagowner.Granted, ended *attempt) {
 	q := h.request
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(q.placing)
 	placed := make(chan wagowner.Outcome, 1)
 	r := q.placementRequest(true)
 	h.start(func() {
@@ -88,7 +88,7 @@
 	case outcome := <-placed:
 		cancel()
 		granted, ok := outcome.(wagowner.Granted)
-		if ok && q.updateAccess() && q.gateway.mayAttempt(granted) {
+		if ok && q.updateAccess() && q.gateway.mayAttempt(granted) && !q.mustRefuse(q.gateway.clock.Now()) {
 			return granted, nil
 		}
 		if ok {
--- a/waggateway/observe.go
+++ b/waggateway/observe.go
@@ -80,6 +80,8 @@
 	CauseConnections RefusalCause = "connections"
 	// CauseBodyTimeout means that a body made no progress or was not complete in time.
 	CauseBodyTimeout RefusalCause = "bodyTimeout"
+	// CauseShutdown means that a body was not complete in time for a graceful shutdown.
+	CauseShutdown RefusalCause = "shutdown"
 	// CauseWriteTimeout means that a caller did not take its response.
 	CauseWriteTimeout RefusalCause = "writeTimeout"
 )
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -88,6 +88,12 @@
 	// fallback is the error response of a server while another server is tried; nil
 	// otherwise.
 	fallback *response
+	// placing ends with endPlacing, and with the attempts. All waits for a server end then.
+	placing    context.Context
+	endPlacing context.CancelFunc
+	// endAttempts ends the attempts, and cutOff is set when a graceful shutdown did so.
+	endAttempts context.CancelFunc
+	cutOff      atomic.Bool
 	// cancels holds the cancel functions of the context and of the attempts that run in
 	// the background.
 	cancels []context.CancelFunc
@@ -259,6 +265,7 @@
 	}
 	source := http.MaxBytesReader(nil, q.incoming.Body, limit)
 	body, complete, err := wagupstream.ReadUpTo(source, q.incoming.ContentLength, keep, nil)
+	q.received = q.gateway.clock.Now()
 	if conn != nil && q.incoming.ContentLength != 0 {
 		conn.endBody(err)
 	}
@@ -270,13 +277,17 @@
 		// Closes the connection after the response: the part of the body that a server
 		// did not read must not be taken for the next request.
 		q.bodyRest, q.contentLength, q.incoming.Close = source, q.incoming.ContentLength, true
+	case errors.Is(err, os.ErrDeadlineExceeded) && q.mustRefuse(q.received):
+		q.incoming.Close = true
+		refusal := q.shutdownResponse()
+		return &refusal
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.incoming.Close = true
 		return &response{status: http.StatusRequestTimeout, outcome: OutcomeRefused, reason: string(CauseBodyTimeout)}
 	case err != nil:
 		return &response{status: http.StatusBadRequest, outcome: OutcomeRejected, reason: "bodyBroken"}
 	}
-	q.body, q.received = body, q.gateway.clock.Now()
+	q.body = body
 	q.releaseSurplus(int64(cap(body)))
 	return nil
 }
@@ -318,12 +329,19 @@
 // attempts lives until cancelAttempts is called.
 func (q *request) run() response {
 	ctx, cancel := context.WithDeadline(q.incoming.Context(), q.deadline)
-	q.cancels = append(q.cancels, cancel)
+	q.endAttempts = cancel
+	q.placing, q.endPlacing = context.WithCancel(ctx)
+	q.cancels = append(q.cancels, cancel, q.endPlacing)
+	q.gateway.inFlight.add(q)
+	defer q.gateway.inFlight.remove(q)
 	for {
 		if !q.updateAccess() {
 			return q.deniedResponse()
 		}
-		outcome := q.place(ctx)
+		if q.mustRefuse(q.gateway.clock.Now()) {
+			return q.refusalResponse(q.shutdownRefusal())
+		}
+		outcome := q.place(q.placing)
 		granted, ok := outcome.(wagowner.Granted)
 		if !q.updateAccess() {
 			if ok {
@@ -331,20 +349,23 @@
 			}
 			return q.deniedResponse()
 		}
+		if q.mustRefuse(q.gateway.clock.Now()) || q.cutOff.Load() {
+			// The slot came too late, or the wait for it was ended.
+			if ok {
+				granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+			}
+			return q.refusalResponse(q.shutdownRefusal())
+		}
 		if !ok {
 			return q.refusalResponse(outcome)
 		}
-		if q.attempts == 0 && q.mustRefuse(q.gateway.clock.Now()) {
-			// The body or a slot came too late.
-			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
-			return q.shutdownResponse()
-		}
 		if !q.gateway.mayAttempt(granted) {
 			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
-			if !q.awaitOtherServer(ctx) {
+			if q.awaitOtherServer(q.placing) {
+				q.withheld++
+			} else if !q.mustRefuse(q.gateway.clock.Now()) {
 				return q.refusalResponse(wagowner.Refused{Reason: wagplacement.ReasonDeadline, RetryAt: q.gateway.clock.Now().Add(rejectedRetryDelay)})
 			}
-			q.withheld++
 			continue
 		}
 		q.withheld = 0
@@ -358,7 +379,12 @@
 // shutdownResponse refuses a request because of a graceful shutdown. Another host may
 // serve it at once.
 func (q *request) shutdownResponse() response {
-	return response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: "shuttingDown", retryAt: q.gateway.clock.Now()}
+	return response{status: http.StatusServiceUnavailable, outcome: OutcomeRefused, reason: reasonShuttingDown, retryAt: q.gateway.clock.Now()}
+}
+
+// shutdownRefusal is the outcome of a wait for a server that a graceful shutdown has ended.
+func (q *request) shutdownRefusal() wagowner.Refused {
+	return wagowner.Refused{Reason: reasonShuttingDown, RetryAt: q.gateway.clock.Now()}
 }
 
 // place requests a server from the placer.
--- a/waggateway/serve.go
+++ b/waggateway/serve.go
@@ -34,7 +34,8 @@
 	lateAfter = 3 * time.Second
 	// signalSlack is how long after the signal the shutdown may begin on a busy host.
 	signalSlack = 250 * time.Millisecond
-	// drainCheckInterval is how often a host that shuts down closes unused connections.
+	// drainCheckInterval is how often a host that shuts down ends waits and closes unused
+	// connections.
 	drainCheckInterval = 50 * time.Millisecond
 	// firstRequestTimeout bounds how long a host that shuts down waits for the first
 	// request on a connection. Callers give up a request that is not read within a
@@ -116,14 +117,16 @@
 	if options.Announce != nil {
 		options.Announce()
 	}
-	background := context.Background()
-	wagclock.Wait(background, g.clock, start.Add(fraction(options.GracePeriod, acceptFraction)))
-	// Fails only when the listener is closed already.
-	_ = l.Close()
-	for {
-		now := g.clock.Now()
-		remaining := conns.closeUnused(now.Add(-firstRequestTimeout), now.Add(-drainIdleTimeout))
+	acceptUntil := start.Add(fraction(options.GracePeriod, acceptFraction))
+	for now := start; ; now = g.clock.Now() {
+		g.inFlight.endWaits(now, times.answerBy)
 		g.endStalled(now)
+		remaining := -1 // more may be accepted
+		if !now.Before(acceptUntil) {
+			// Fails only when the listener is closed already.
+			_ = l.Close()
+			remaining = conns.closeUnused(now.Add(-firstRequestTimeout), now.Add(-drainIdleTimeout))
+		}
 		if remaining == 0 {
 			g.log.Info("all connections of callers are closed")
 			return
@@ -132,7 +135,13 @@
 			g.log.WithField("open", remaining).Warning("graceful shutdown ended with open connections of callers")
 			return
 		}
-		wagclock.Wait(background, g.clock, now.Add(drainCheckInterval))
+		next := now.Add(drainCheckInterval)
+		for _, at := range []time.Time{acceptUntil, times.answerBy} {
+			if at.After(now) {
+				next = wagclock.Earlier(next, at)
+			}
+		}
+		wagclock.Wait(context.Background(), g.clock, next)
 	}
 }
 
--- a/waggateway/serve_test.go
+++ b/waggateway/serve_test.go
@@ -31,7 +31,12 @@
 func newRunningGateway(t *testing.T, grace time.Duration, opts ...Option) *runningGateway {
 	t.Helper()
 	a := newTestServer(t, "a", responseOK)
-	f := newFixtureWith(t, opts, a, a, a) // one for each request
+	return run(t, grace, newFixtureWith(t, opts, a, a, a)) // one for each request
+}
+
+// run runs the gateway of a fixture with a clock of the test.
+func run(t *testing.T, grace time.Duration, f *fixture) *runningGateway {
+	t.Helper()
 	r := &runningGateway{t: t, gateway: f.gateway, clock: wagclock.NewManual(time.Now()), announced: make(chan struct{})}
 	f.gateway.clock = r.clock
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/waggateway/shutdown.go
+++ b/waggateway/shutdown.go
@@ -31,9 +31,8 @@
 // newShutdownTimes returns the times of a graceful shutdown that begins at a time.
 func newShutdownTimes(start time.Time, gracePeriod time.Duration) *shutdownTimes {
 	closeAt := start.Add(fraction(gracePeriod, finishFraction))
-	return &shutdownTimes{
-		lateFrom: wagclock.Earlier(start.Add(lateAfter-signalSlack), closeAt), answerBy: wagclock.Later(closeAt.Add(-responseSlack), start), closeAt: closeAt,
-	}
+	answerBy := wagclock.Later(closeAt.Add(-responseSlack), start)
+	return &shutdownTimes{lateFrom: wagclock.Earlier(start.Add(lateAfter-signalSlack), answerBy), answerBy: answerBy, closeAt: closeAt}
 }
 
 // mustRefuse reports whether a request that is not at a server must not be sent to one at a
@@ -51,11 +50,11 @@
 	if !q.received.Before(s.lateFrom) || q.hasLongBody() {
 		return true
 	}
-	work, known := q.gateway.durations.shortest(now, q.route.Name)
+	work, _ := q.gateway.durations.shortest(now, q.route.Name) // 0 if it is not known
 	if !q.route.Idempotent {
-		work, known = q.gateway.durations.longest(now, q.route.Name)
+		work, _ = q.gateway.durations.longest(now, q.route.Name)
 	}
-	return known && now.Add(work).After(s.answerBy)
+	return !now.Add(work).Before(s.answerBy)
 }
 
 // hasLongBody reports whether the body is passed on while it arrives, so that its end may
--- a/waggateway/stalled.go
+++ b/waggateway/stalled.go
@@ -25,11 +25,25 @@
 // previous call has seen, so that a request needs no timer of its own.
 func (g *Gateway) endStalled(now time.Time) {
 	header, idle := g.timeouts()
+	s := g.shutdown.Load()
 	for _, c := range g.callers.all() {
+		if s != nil && !now.Before(s.lateFrom) {
+			c.endLateBody(s.answerBy)
+		}
 		c.endStalled(now, now.Add(-header), now.Add(-idle))
 	}
 }
 
+// endLateBody ends a body that will be complete too late in a graceful shutdown, unless the
+// deadline of its request lies before answerBy.
+func (c *callerConn) endLateBody(answerBy time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.activity == readingBody && c.bodyUntil.After(answerBy) {
+		c.expire(CauseShutdown)
+	}
+}
+
 // endStalled ends what has made no progress since headBefore or idleBefore.
 func (c *callerConn) endStalled(now, headBefore, idleBefore time.Time) {
 	c.mu.Lock()
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -86,6 +86,8 @@
 	shuttingDown    atomic.Bool
 	// shutdown holds the times of the graceful shutdown; nil before it.
 	shutdown atomic.Pointer[shutdownTimes]
+	// inFlight holds the requests that a graceful shutdown may have to end.
+	inFlight inFlight
 	// durations holds how long the servers' work takes, by route.
 	durations       routeDurations
 	requestCounters sync.Map // route name to *atomic.Uint64, the number of its requests
