wagupstream: Take no status outside HTTP for an informational response

A caller could get bytes as an answer that are none (MIXED): a server in trouble sends an answer with the status 000 whose body looks like an answer. Without such a body, the request and the slot of the server waited until the deadline.

Cause: every status below 200 counted as informational, so that the next response on the connection was read, which is the body of the first. http.ReadResponse accepts any three characters that are a number.

Final statuses are 200 to 599 and informational ones 100 to 199 now, in one place (wagoutcome); all others are invalid responses, as is a protocol other than HTTP/1.

--- a/wagentry/attempt.go
+++ b/wagentry/attempt.go
@@ -108,10 +108,11 @@
 	if err == nil {
 		a.resp, err = a.endpoint.transport.RoundTrip(out) //nolint:bodyclose // finish closes it
 	}
-	if err == nil && lacksFraming(a.resp) {
-		err = errUnframed
-		_ = a.resp.Body.Close()
-		a.resp = nil
+	if err == nil {
+		if err = checkResponse(a.resp); err != nil {
+			_ = a.resp.Body.Close()
+			a.resp = nil
+		}
 	}
 	if err != nil {
 		a.recordFailure()
@@ -218,6 +219,19 @@
 	}
 }
 
+// checkResponse returns an error if a response must not be passed on.
+func checkResponse(r *http.Response) error {
+	switch {
+	case r.StatusCode != http.StatusSwitchingProtocols && !wagoutcome.IsFinalStatus(r.StatusCode):
+		// A response writer panics at a status such as 000.
+		return errInvalidStatus
+	case lacksFraming(r):
+		return errUnframed
+	default:
+		return nil
+	}
+}
+
 // lacksFraming reports whether the end of a response can't be distinguished from a
 // broken connection, because neither a length nor chunks delimit it, or because the
 // server switched protocols without being asked to.
--- a/wagentry/caller.go
+++ b/wagentry/caller.go
@@ -26,7 +26,10 @@
 	writeGrace = time.Second
 )
 
-var errUnframed = errors.New("response does not mark the end of its body")
+var (
+	errUnframed      = errors.New("response does not mark the end of its body")
+	errInvalidStatus = errors.New("response has a status outside 200 to 599")
+)
 
 // serveCaller serves a request on the caller port.
 func (px *Proxy) serveCaller(c echo.Context) error {
--- a/wagentry/caller_test.go
+++ b/wagentry/caller_test.go
@@ -152,6 +152,8 @@
 		{"dies in the header", closing("HTTP/1.1 200 OK\r\nContent-"), false, "unknown"},
 		{"dies before the response", closing(""), false, "unknown"},
 		{"sends no length", closing("HTTP/1.1 200 OK\r\n\r\nshort"), false, "unknown"},
+		{"sends status 000", closing("HTTP/1.1 000 \r\nContent-Length: 5\r\n\r\nshort"), false, "unknown"},
+		{"sends status 799", closing("HTTP/1.1 799 No\r\nContent-Length: 5\r\n\r\nshort"), false, "unknown"},
 		{"switches protocols", closing("HTTP/1.1 101 Go\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nmore"), false, "unknown"},
 		{"sends no HTTP", closing("garbage\r\n\r\n"), false, "unknown"},
 		{"proves not run", respondWith("HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"), false, "not-run"},
--- a/wagupstream/conn.go
+++ b/wagupstream/conn.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
+	"github.com/wagtailspar/wagtailspar/wagoutcome"
 )
 
 const (
@@ -206,12 +207,17 @@
 		if err != nil {
 			return nil, false, invalidResponse(err)
 		}
-		if httpResp.StatusCode >= http.StatusOK {
+		switch status := httpResp.StatusCode; {
+		case httpResp.ProtoMajor != 1:
+			return nil, false, invalidResponse(errors.Errorf("the response has the protocol %s", httpResp.Proto))
+		case wagoutcome.IsFinalStatus(status):
 			c.readingHead = false
 			return readBody(httpResp, mayBuffer)
-		}
-		if httpResp.StatusCode == http.StatusSwitchingProtocols {
+		case status == http.StatusSwitchingProtocols:
 			return nil, false, invalidResponse(errors.New("the server switched protocols"))
+		case !wagoutcome.IsInformationalStatus(status):
+			// What follows belongs to it, and is no response.
+			return nil, false, invalidResponse(errors.Errorf("the response has the invalid status %q", httpResp.Status))
 		}
 	}
 }
