--- a/wagentry/caller_test.go
+++ b/wagentry/caller_test.go
@@ -314,3 +314,25 @@
 		}
 	}
 }
+
+// Guards against an answer that ends early, in its head or its body, and counts as whole.
+func TestAnswersAreCut(t *testing.T) {
+	for name, whole := range map[string]string{
+		"length":                "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 5\r\n\r\nwhole",
+		"chunks":                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"end of the connection": "HTTP/1.1 200 OK\r\nX: y\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := ""
+			s := newRawServer(t, func(c net.Conn, n int) bool { return respondWith(text)(c, n) && false })
+			h := newTestHost(t, "a", "attempts = 1", liveServers(s.address))
+			for n := range len(whole) {
+				text = whole[:n]
+				resp, _, err := doRequest(t, "POST", h.caller, "/lots/x", "")
+				if err == nil && resp.Header.Get(wagoutcome.OutcomeHeader) != "unknown" {
+					t.Errorf("the answer %q has the outcome %s", text, resp.Header.Get(wagoutcome.OutcomeHeader))
+				}
+			}
+		})
+	}
+}
