wagupstream: Ask the writer whether a body without a length was reset

Cause: the kernel reports a reset once. The write that is in progress gets it, and the read that follows sees the proper end of the connection, which ends such a body.

When the end comes before the request is written, the writer decides: a failed write makes the answer invalid; a write that succeeds afterwards, or waits on, shows that there was no reset. Long writes go in pieces of 64 KiB so that this is seen at once.

Tests changed: the servers of the tests on cut answers share their text with the test through an atomic pointer; the race detector found that they did not.

--- a/wagentry/caller_test.go
+++ b/wagentry/caller_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -323,14 +324,15 @@
 		"end of the connection": "HTTP/1.1 200 OK\r\nX: y\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			text := ""
-			s := newRawServer(t, func(c net.Conn, n int) bool { return respondWith(text)(c, n) && false })
+			var text atomic.Pointer[string]
+			s := newRawServer(t, func(c net.Conn, n int) bool { return respondWith(*text.Load())(c, n) && false })
 			h := newTestHost(t, "a", "attempts = 1", liveServers(s.address))
 			for n := range len(whole) {
-				text = whole[:n]
+				answer := whole[:n]
+				text.Store(&answer)
 				resp, _, err := doRequest(t, "POST", h.caller, "/lots/x", "")
 				if err == nil && resp.Header.Get(wagoutcome.OutcomeHeader) != "unknown" {
-					t.Errorf("the answer %q has the outcome %s", text, resp.Header.Get(wagoutcome.OutcomeHeader))
+					t.Errorf("the answer %q has the outcome %s", answer, resp.Header.Get(wagoutcome.OutcomeHeader))
 				}
 			}
 		})
--- a/wagupstream/conn.go
+++ b/wagupstream/conn.go
@@ -27,6 +27,8 @@
 	// the response is read. It fits into the socket buffers of a connection; otherwise
 	// a server that responds before it has read the body could block both sides.
 	maxShortBody = 8 << 10
+	// writeChunkBytes is the size of one write, so that the progress of a long one is seen.
+	writeChunkBytes = 64 << 10
 	// maxBufferedBody bounds the part of a response body, in bytes, that is read into
 	// memory before the response is passed on.
 	maxBufferedBody = 256 << 10
@@ -59,6 +61,10 @@
 	idleUntil, shortIdleUntil time.Time
 	// written reports whether a byte of the current request may have been sent.
 	written atomic.Bool
+	// writes counts the writes that succeeded. writing is set during a write, and stays set
+	// after one that failed.
+	writes  atomic.Uint64
+	writing atomic.Bool
 	// closeOnce guards closing the connection, and onClose is called after it.
 	closeOnce sync.Once
 	onClose   func()
@@ -147,11 +153,22 @@
 
 // Write writes to the connection and records that something was sent.
 func (c *conn) Write(p []byte) (n int, err error) {
-	n, err = c.raw.Write(p)
-	if n > 0 {
-		c.written.Store(true)
+	for {
+		c.writing.Store(true)
+		m, err := c.raw.Write(p[n:min(n+writeChunkBytes, len(p))])
+		n += m
+		if m > 0 {
+			c.written.Store(true)
+		}
+		if err != nil {
+			return n, err
+		}
+		c.writes.Add(1)
+		c.writing.Store(false)
+		if n == len(p) {
+			return n, nil
+		}
 	}
-	return n, err
 }
 
 // writeShort sends a request with a short body in a single write.
@@ -224,7 +241,10 @@
 
 // readBody reads a body up to maxBufferedBody, or as far as mayBuffer permits.
 func readBody(httpResp *http.Response, mayBuffer func(int64) bool) (resp *Response, keep bool, err error) {
-	resp = &Response{Status: httpResp.StatusCode, Header: httpResp.Header, ContentLength: httpResp.ContentLength}
+	resp = &Response{
+		Status: httpResp.StatusCode, Header: httpResp.Header, ContentLength: httpResp.ContentLength,
+		endsWithConnection: httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 && httpResp.Body != http.NoBody,
+	}
 	// A body that is shorter than the Content-Length is an error of the reader.
 	body, complete, err := ReadUpTo(httpResp.Body, httpResp.ContentLength, maxBufferedBody, mayBuffer)
 	if err != nil {
--- a/wagupstream/cut_test.go
+++ b/wagupstream/cut_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,17 +19,17 @@
 // cutServer answers each request with a text and ends the connection.
 type cutServer struct {
 	*scriptedServer
-	text  string
+	text  atomic.Pointer[string]
 	reset bool
 }
 
-func newCutServer(t *testing.T) *cutServer {
-	s := &cutServer{}
+func newCutServer(t *testing.T, reset bool) *cutServer {
+	s := &cutServer{reset: reset}
 	s.scriptedServer = newScriptedServer(t, func(c net.Conn, r *bufio.Reader) {
 		if readRequest(r) == nil {
 			return
 		}
-		_, _ = io.WriteString(c, s.text)
+		_, _ = io.WriteString(c, *s.text.Load())
 		if s.reset {
 			_ = c.(*net.TCPConn).SetLinger(0)
 		}
@@ -88,8 +89,7 @@
 			for _, reset := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s/stream=%v/reset=%v", name, stream, reset), func(t *testing.T) {
 					is := is.New(t)
-					s := newCutServer(t)
-					s.reset = reset
+					s := newCutServer(t, reset)
 					p := NewPool(idHeader)
 					defer p.Close()
 					whole := x.head + x.body
@@ -98,16 +98,17 @@
 						last = len(x.head) // a body that is cut cannot be told from a whole one
 					}
 					for n := range last {
-						s.text = whole[:n]
+						text := whole[:n]
+						s.text.Store(&text)
 						_, err := receive(p, s, x.method, stream)
 						if !errors.Is(err, ErrInvalidResponse) && !errors.Is(err, ErrResponseMismatch) {
-							t.Errorf("the answer %q counts as whole (%v)", s.text, err)
+							t.Errorf("the answer %q counts as whole (%v)", text, err)
 						}
 					}
 					if reset {
 						return // the answer itself may be lost
 					}
-					s.text = whole
+					s.text.Store(&whole)
 					got, err := receive(p, s, x.method, stream)
 					is.NoErr(err)
 					want := ""
--- a/wagupstream/exchange.go
+++ b/wagupstream/exchange.go
@@ -20,6 +20,13 @@
 // again.
 const bodySentTimeout = 5 * time.Millisecond
 
+const (
+	// resetTimeout bounds the wait for the goroutine that writes a request, after its
+	// connection has ended: the kernel has woken it if there was a reset.
+	resetTimeout       = 500 * time.Millisecond
+	resetCheckInterval = time.Millisecond
+)
+
 // Exchange sends a request to a server and returns its response. The connection has to
 // be open by dialBy, and the response has to arrive before ctx ends. reused reports
 // whether the request was sent on a reused connection. The error is ErrRestricted while
@@ -54,13 +61,20 @@
 		return nil, reused, err
 	}
 	if resp.BodyRest != nil {
-		resp.BodyRest = &bodyRest{source: resp.BodyRest, exchange: x}
+		resp.BodyRest = &bodyRest{source: resp.BodyRest, exchange: x, endsWithConnection: resp.endsWithConnection}
 		return resp, reused, nil
 	}
+	if resp.endsWithConnection && x.wasReset() {
+		x.finish(false)
+		return nil, reused, errReset
+	}
 	x.finish(true)
 	return resp, reused, nil
 }
 
+// errReset means that a body without a length was ended by a reset of its connection.
+var errReset = invalidResponse(errors.New("the connection was reset while the request was sent"))
+
 // exchange is one request and its response on a connection.
 type exchange struct {
 	pool   *Pool
@@ -71,9 +85,10 @@
 	stop func() bool
 	// writer runs while a long body is sent.
 	writer errgroup.Group
-	// sent is closed when a request with a long body has been written; nil for short
-	// bodies.
-	sent chan struct{}
+	// writeEnded is closed when writer ends, and writeErr is its error; nil for short bodies,
+	// which have been written before the response is read.
+	writeEnded chan struct{}
+	writeErr   error
 	// keep reports whether the connection can carry another request.
 	keep bool
 }
@@ -87,17 +102,16 @@
 			return nil, errors.WithMessage(err, "write the request")
 		}
 	} else {
-		x.sent = make(chan struct{})
+		x.writeEnded = make(chan struct{})
 		x.writer.Go(func() error {
+			defer close(x.writeEnded)
 			// The body comes from a caller.
-			err := wagpanic.Catch(x.pool.log, func() error { return c.writeLong(r) })
-			if err != nil {
+			x.writeErr = wagpanic.Catch(x.pool.log, func() error { return c.writeLong(r) })
+			if x.writeErr != nil {
 				// The server must not wait for the rest of the body.
 				c.close()
-				return err
 			}
-			close(x.sent)
-			return nil
+			return x.writeErr
 		})
 	}
 	for range maxMismatched + 1 {
@@ -119,18 +133,52 @@
 	return nil, ErrResponseMismatch
 }
 
+// wasReset reports whether a connection whose end was read has been reset. The kernel reports
+// a reset once, to the next read or write: when that is a write, the read that follows sees
+// the proper end of the connection.
+func (x *exchange) wasReset() bool {
+	if x.writeEnded == nil {
+		return false // nothing is written while the response is read
+	}
+	before := x.conn.writes.Load()
+	ticker := time.NewTicker(resetCheckInterval)
+	defer ticker.Stop()
+	expired := time.After(resetTimeout)
+	for {
+		select {
+		case <-x.writeEnded:
+			return x.writeErr != nil
+		case <-expired:
+			return false // a write that waits has met no reset
+		case <-ticker.C:
+			if !x.conn.writing.Load() || x.conn.writes.Load() != before {
+				return false
+			}
+		}
+	}
+}
+
+// isSent reports whether the request was written completely. It waits for that.
+func (x *exchange) isSent(timeout time.Duration) bool {
+	if x.writeEnded == nil {
+		return true
+	}
+	select {
+	case <-x.writeEnded:
+		return x.writeErr == nil
+	case <-time.After(timeout):
+		return false
+	}
+}
+
 // finish returns the connection to the pool, or closes it. complete reports whether the
 // whole response was read.
 func (x *exchange) finish(complete bool) {
 	live := x.stop()
-	if x.sent != nil {
-		select {
-		case <-x.sent:
-		case <-time.After(bodySentTimeout):
-			// The server responded before it had read the whole body. It would take the
-			// next request on the connection for the rest of the body.
-			x.keep = false
-		}
+	if !x.isSent(bodySentTimeout) {
+		// The server responded before it had read the whole body. It would take the next
+		// request on the connection for the rest of the body.
+		x.keep = false
 	}
 	if !complete || !live || !x.keep || x.conn.reader.Buffered() > 0 {
 		x.conn.close()
@@ -143,6 +191,8 @@
 type bodyRest struct {
 	source   io.Reader
 	exchange *exchange
+	// endsWithConnection is that of the response.
+	endsWithConnection bool
 	// finished reports whether the connection was returned or closed.
 	finished bool
 }
@@ -152,6 +202,9 @@
 func (r *bodyRest) Read(p []byte) (int, error) {
 	n, err := r.source.Read(p)
 	switch {
+	case errors.Is(err, io.EOF) && r.endsWithConnection && !r.finished && r.exchange.wasReset():
+		r.finish(false)
+		err = errReset
 	case errors.Is(err, io.EOF):
 		r.finish(true)
 	case err != nil:
--- a/wagupstream/wagupstream.go
+++ b/wagupstream/wagupstream.go
@@ -72,6 +72,8 @@
 	// the response is incomplete. ContentLength is the length of both; -1 when unknown.
 	BodyRest      io.ReadCloser
 	ContentLength int64
+	// endsWithConnection means that only the end of the connection ends the body.
+	endsWithConnection bool
 }
 
 // Dialer opens connections to servers.
