wagsync: Contain panics at changes and pings, too

One object of the store at which a change handler panics would have ended every host that follows the store, and again after each restart; a panic at the response to a ping likewise. The handler and the ping are called through wagpanic.Catch now; the changes that follow are applied.

TestPanicAtChange and the ping in TestPanicAtResponseOfStore: without recovery, "panic: unexpected change" ends the test process.

--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -202,7 +202,7 @@
 		if s.IsFollowing() || !s.IsDisconnected() {
 			continue
 		}
-		if err := s.store.Ping(ctx); err != nil {
+		if err := wagpanic.Catch(s.log, func() error { return s.store.Ping(ctx) }); err != nil {
 			continue
 		}
 		s.mu.Lock()
@@ -391,7 +391,10 @@
 	}
 	s.mu.Unlock()
 	if len(records) > 0 {
-		s.onChange(records)
+		_ = wagpanic.Catch(s.log, func() error { // logs the error
+			s.onChange(records)
+			return nil
+		})
 	}
 	return ok
 }
--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -502,6 +502,25 @@
 	is.True(early < hosts)
 }
 
+// Guards against a change that ends the process of each host of a site, and again after each
+// restart: the changes that follow are applied.
+func TestPanicAtChange(t *testing.T) {
+	run(t, func(is *is.I, x *fixture) {
+		x.sync.onChange = func(records []wagmirror.Record) {
+			if records[0].Name == "poison" {
+				panic("unexpected change")
+			}
+			x.changed(records)
+		}
+		x.startFollowing()
+		x.store.put("config", "poison")
+		sleep(time.Second)
+		at := x.store.put("config", "main")
+		sleep(time.Second)
+		is.Equal(x.revisionOf("config/main"), at)
+	})
+}
+
 // panickingStore panics at the first requests.
 type panickingStore struct {
 	*store
@@ -515,6 +534,13 @@
 	return s.store.List(ctx, kind)
 }
 
+func (s *panickingStore) Ping(ctx context.Context) error {
+	if s.panics.Add(-1) >= 0 {
+		panic("unexpected response")
+	}
+	return s.store.Ping(ctx)
+}
+
 // Guards against a response of the store that ends the process of a host: the request is
 // repeated like any other that failed.
 func TestPanicAtResponseOfStore(t *testing.T) {
@@ -525,5 +551,11 @@
 		at := x.store.put("config", "main")
 		sleep(10 * maxFirstReadDelay)
 		is.Equal(x.revisionOf("config/main"), at)
+		x.sync.mu.Lock()
+		x.sync.disconnected = true
+		x.sync.mu.Unlock()
+		s.panics.Store(1)
+		sleep(3 * pingInterval)
+		is.True(!x.sync.IsDisconnected())
 	})
 }
