waggateway: Let a test not reuse a connection that its server is closing

Traced: server a closes its connection after the response that it held. On a busy machine the next round sends its request there before, the request breaks and is sent again to server b, so that a never gets it.

The test closes idle connections between its rounds; what it checks is unchanged.

--- a/waggateway/idle_memory_test.go
+++ b/waggateway/idle_memory_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/wagtailspar/wagtailspar/wagupstream"
 )
 
 // Guards against idle connections that hold what their earlier requests took: the parsed
@@ -36,6 +38,9 @@
 			status, _, _ := f.read()
 			is.Equal(status, http.StatusOK)
 		}
+		// Server a closes its connection after the response. The next request to it could be
+		// sent there before, and would be sent again to server b.
+		f.gateway.upstream.Prune(func(wagupstream.Server) bool { return false })
 	}
 	f.placer.mu.Lock()
 	f.placer.requests, f.placer.results, f.placer.servers = nil, nil, nil
