--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -192,14 +192,18 @@
 	runKinds(t, []string{"config", "servers"}, f)
 }
 
-// runKinds runs f with a running Sync of some kinds in a synctest bubble.
-func runKinds(t *testing.T, kinds []string, f func(is *is.I, x *fixture)) {
+// runKinds runs f with a running Sync of some kinds in a synctest bubble. prepare is called
+// before it runs.
+func runKinds(t *testing.T, kinds []string, f func(is *is.I, x *fixture), prepare ...func(x *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		x := &fixture{store: newStore(), received: make(map[string]wagmirror.Revision)}
 		x.sync = New(x.store, x.changed, kinds, WithLog(log))
+		for _, p := range prepare {
+			p(x)
+		}
 		ctx, cancel := context.WithCancel(context.Background())
 		x.ctx = ctx
 		var g errgroup.Group
@@ -505,19 +509,20 @@
 // Guards against a change that ends the process of each host of a site, and again after each
 // restart: the changes that follow are applied.
 func TestPanicAtChange(t *testing.T) {
-	run(t, func(is *is.I, x *fixture) {
-		x.sync.onChange = func(records []wagmirror.Record) {
-			if records[0].Name == "poison" {
-				panic("unexpected change")
-			}
-			x.changed(records)
-		}
+	runKinds(t, []string{"config", "servers"}, func(is *is.I, x *fixture) {
 		x.startFollowing()
 		x.store.put("config", "poison")
 		sleep(time.Second)
 		at := x.store.put("config", "main")
 		sleep(time.Second)
 		is.Equal(x.revisionOf("config/main"), at)
+	}, func(x *fixture) {
+		x.sync.onChange = func(records []wagmirror.Record) {
+			if records[0].Name == "poison" {
+				panic("unexpected change")
+			}
+			x.changed(records)
+		}
 	})
 }
 
@@ -544,10 +549,8 @@
 // Guards against a response of the store that ends the process of a host: the request is
 // repeated like any other that failed.
 func TestPanicAtResponseOfStore(t *testing.T) {
-	run(t, func(is *is.I, x *fixture) {
-		s := &panickingStore{store: x.store}
-		s.panics.Store(3)
-		x.sync.store = s
+	s := &panickingStore{}
+	runKinds(t, []string{"config", "servers"}, func(is *is.I, x *fixture) {
 		at := x.store.put("config", "main")
 		sleep(10 * maxFirstReadDelay)
 		is.Equal(x.revisionOf("config/main"), at)
@@ -557,5 +560,9 @@
 		s.panics.Store(1)
 		sleep(3 * pingInterval)
 		is.True(!x.sync.IsDisconnected())
+	}, func(x *fixture) {
+		s.store = x.store
+		s.panics.Store(3)
+		x.sync.store = s
 	})
 }
