review: a host that was suspended grants servers that have left (case 13)

Cause: heartbeats that waited in the sockets of a suspended host make its old copy look fresh when it goes on. It owns its groups again at once and grants servers that said they were draining.

--- a/review/standins-3/case13_test.go
+++ b/review/standins-3/case13_test.go
@@ -3,157 +3,179 @@
 package standins
 
 import (
-	"bufio"
 	"fmt"
-	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-func init() { cases["13"] = stormOfLargeConfigurations }
+func init() { cases["13"] = ownerSuspendedWhileServersLeave }
 
 const (
-	// addedRoutes is how many routes the configuration has beside the one that moves, and
-	// otherServices how many services beside those with servers.
-	addedRoutes, otherServices = 1400, 14
-	// stormChanges is how many changes the storm has, one each stormGap.
-	stormChanges = 25
-	stormGap     = 60 * time.Millisecond
-	// freezeRest is how much longer than the storm the host is suspended.
-	freezeRest = 500 * time.Millisecond
-	// valueBytes bounds an object of the store.
-	valueBytes = 1_048_576
+	// freezeTime is how long a host is suspended, and restTime how long nothing happens then.
+	freezeTime = 2600 * time.Millisecond
+	restTime   = 3200 * time.Millisecond
+	// maxRounds bounds the repetitions.
+	maxRounds = 14
+	// enough ends the case early: the rule is broken by the first late request.
+	enough = 10
+	// arrivalSlack is left for a request on its way when drainMs ends.
+	arrivalSlack = 50 * time.Millisecond
 )
 
-// stormOfLargeConfigurations changes a configuration of about 1 MB in
-// quick succession, while the host is suspended that follows the store. The last change moves a
-// route to another service.
-func stormOfLargeConfigurations(s *site) (held bool, err error) {
+// ownerSuspendedWhileServersLeave suspends one host of each data centre while servers say that
+// they are draining, and goes on. Clients use the other hosts only.
+func ownerSuspendedWhileServersLeave(s *site) (held bool, err error) {
 	if s.store, err = newStore(); err != nil {
 		return false, err
 	}
+	s.record.quiet = true
 	s.bounds, s.zones = smallBounds(), []string{"lj-a", "lj-b", "lj-c"}
-	services := []string{"narocila", "vzorci"}
+	var services []string
+	var rules []map[string]any
+	for i := range 8 {
+		name := fmt.Sprintf("service-%d", i)
+		services = append(services, name)
+		rules = append(rules, rule(name, "/"+name+"/", "idempotent", name, 800*time.Millisecond, 300*time.Millisecond, 2))
+	}
+	type group struct{ service, zone string }
+	serving := make(map[group][]*server)
+	started := 0
+	addServer := func(g group) error {
+		started++
+		x, err := newServer(s.record, fmt.Sprintf("i-%s-%s-%d", g.service, g.zone, started), g.service, g.zone, 2, 3*time.Millisecond)
+		if err != nil {
+			return err
+		}
+		s.store.write("servers", x.id, x.entry("ready"))
+		serving[g] = append(serving[g], x)
+		return nil
+	}
 	for _, service := range services {
 		for _, zone := range s.zones {
-			for n := range 2 {
-				x, err := newServer(s.record, fmt.Sprintf("i-%s-%s-%d", service, zone, n), service, zone, 2, 20*time.Millisecond)
-				if err != nil {
+			for range 3 {
+				if err := addServer(group{service, zone}); err != nil {
 					return false, err
 				}
-				s.store.write("servers", x.id, x.entry("ready"))
 			}
 		}
 	}
-	for n := range otherServices {
-		services = append(services, fmt.Sprintf("storitev%02d", n))
+	s.store.write("config", "main", configuration(1, services, rules...))
+	if err := s.addHosts("lj-a", "lj-a", "lj-a", "lj-b", "lj-b", "lj-b", "lj-c", "lj-c", "lj-c"); err != nil {
+		return false, err
 	}
-	const lastVersion = 1 + stormChanges
-	config := func(version int) map[string]any {
-		service := "narocila"
-		if version == lastVersion {
-			service = "vzorci"
-		}
-		rules := []map[string]any{rule("stock", "/stock/", "idempotent", service, 800*time.Millisecond, 300*time.Millisecond, 2)}
-		for n := range addedRoutes {
-			r := rule(fmt.Sprintf("added-%d", n), fmt.Sprintf("/added-%d-%d/", n, version), "idempotent", "", 800*time.Millisecond, 300*time.Millisecond, 2)
-			delete(r, "service")
-			var split []map[string]any
-			for _, name := range services {
-				split = append(split, map[string]any{"service": name, "weight": 10})
+	// The host of each data centre that grants servers for most services is suspended later.
+	for n := range 30 {
+		for i, service := range services {
+			for _, h := range s.hosts {
+				s.quietCall(h, "GET", "/"+service+"/1", fmt.Sprintf("first-%d-%d-%s", n, i, h.name), 800*time.Millisecond, "")
 			}
-			r["trafficSplit"] = split
-			rules = append(rules, r)
 		}
-		return configuration(version, services, rules...)
-	}
-	configs := make(map[int]map[string]any)
-	for version := 1; version <= lastVersion; version++ {
-		configs[version] = config(version)
-	}
-	configure := func(version int) error {
-		revision, bytes := s.store.writeSized("config", "main", configs[version])
-		s.record.add("store", "the operator writes version %d, %d bytes, acknowledged at revision %d", version, bytes, revision)
-		if bytes > valueBytes {
-			return fmt.Errorf("the configuration has %d bytes", bytes)
-		}
-		return nil
-	}
-	if err := configure(1); err != nil {
-		return false, err
-	}
-	if err := s.addHosts("lj-a", "lj-a", "lj-b", "lj-c"); err != nil {
-		return false, err
 	}
-	// In touch: nothing happens for stableMs.
-	s.waitUntil(time.Now().Add(5 * time.Second))
-	frozen, err := s.follower()
+	suspended, err := s.grantingHosts()
 	if err != nil {
 		return false, err
 	}
-	first := lastVersion
-	if s.trouble {
-		first = 2
-		frozen.signal(syscall.SIGSTOP)
-		s.record.add("trouble", "%s, which follows the store, is suspended; a storm of %d changes begins", frozen.name, stormChanges)
-	}
-	next := time.Now()
-	for version := first; version <= lastVersion; version++ {
-		s.waitUntil(next)
-		next = next.Add(stormGap)
-		if err := configure(version); err != nil {
-			return false, err
+	s.waitUntil(time.Now().Add(4 * time.Second))
+
+	var mu sync.Mutex
+	drainingSince := make(map[string]time.Time)
+	var sent, late atomic.Int64
+	var stop atomic.Bool
+	var clients sync.WaitGroup
+	for _, h := range s.hosts {
+		if suspended[h.zone] == h {
+			continue
+		}
+		for _, service := range services {
+			clients.Add(1)
+			background.Go(func() error {
+				defer clients.Done()
+				for !stop.Load() && s.ctx.Err() == nil {
+					id := fmt.Sprintf("%016x", sent.Add(1))
+					sentAt := time.Now()
+					a := s.quietCall(h, "GET", "/"+service+"/1", id, 800*time.Millisecond, "")
+					for _, x := range s.record.serversOf(id) {
+						mu.Lock()
+						since, ok := drainingSince[x]
+						mu.Unlock()
+						if ok && sentAt.Sub(since) > drainTime+arrivalSlack {
+							late.Add(1)
+							s.record.add("late", "request %s, sent to %s %.3f s after the acknowledgement, was run by %s; answer: %s", id, h.name, sentAt.Sub(since).Seconds(), x, a)
+						}
+					}
+					time.Sleep(6 * time.Millisecond)
+				}
+				return nil
+			})
 		}
 	}
-	acknowledged := time.Now()
-	if s.trouble {
-		s.waitUntil(acknowledged.Add(freezeRest))
-		frozen.signal(syscall.SIGCONT)
-		s.record.add("trouble", "%s goes on", frozen.name)
-	}
-	sent, stale, run := 0, 0, 0
-	for t := applyTime + 500*time.Millisecond; t <= 26*time.Second; t += time.Second {
-		s.waitUntil(acknowledged.Add(t))
-		counts := make(map[string]int)
-		for _, h := range s.hosts {
-			if h == frozen {
-				continue // it was not in touch
+	for round := 1; round <= maxRounds && late.Load() < enough && s.ctx.Err() == nil; round++ {
+		if s.trouble {
+			for _, zone := range s.zones {
+				suspended[zone].signal(syscall.SIGSTOP)
+				s.record.add("trouble", "round %d: %s is suspended", round, suspended[zone].name)
 			}
-			sent++
-			id := fmt.Sprintf("%016x", sent)
-			s.call(h, "GET", "/stock/1", id, 800*time.Millisecond, "")
-			for _, service := range s.record.runsOf(id) {
-				counts[service]++
+		}
+		begun := time.Now()
+		s.waitUntil(begun.Add(100 * time.Millisecond))
+		for g, list := range serving {
+			x := list[0]
+			serving[g] = list[1:]
+			s.store.write("servers", x.id, x.entry("draining"))
+			mu.Lock()
+			drainingSince[x.id] = time.Now()
+			mu.Unlock()
+			if err := addServer(g); err != nil {
+				return false, err
 			}
 		}
-		s.record.add("check", "%.1f s after the acknowledgement of version %d, runs by service: %v", time.Since(acknowledged).Seconds(), lastVersion, counts)
-		stale += counts["narocila"]
-		run += counts["narocila"] + counts["vzorci"]
-	}
-	s.record.add("check", "%d of %d requests that were sent later than configApplyMs after the acknowledgement ran at the former service", stale, run)
-	if run == 0 {
-		return false, fmt.Errorf("no request was run")
+		s.record.add("store", "round %d: a server of each service and data centre says that it is draining, and another one registers", round)
+		s.waitUntil(begun.Add(freezeTime))
+		if s.trouble {
+			for _, zone := range s.zones {
+				suspended[zone].signal(syscall.SIGCONT)
+			}
+			s.record.add("trouble", "round %d: the suspended hosts go on", round)
+		}
+		s.waitUntil(time.Now().Add(restTime))
 	}
-	return stale == 0, nil
+	stop.Store(true)
+	clients.Wait()
+	s.record.add("check", "%d of %d requests reached a server later than drainMs after it said that it was draining", late.Load(), sent.Load())
+	return late.Load() == 0, nil
 }
 
-// follower returns the host that follows the store for the others, by its metrics.
-func (s *site) follower() (*host, error) {
-	client := &http.Client{Timeout: time.Second}
+// grantingHosts returns, by data centre, the host that has granted servers for most services, by
+// the lines in the logs.
+func (s *site) grantingHosts() (map[string]*host, error) {
+	best, most := make(map[string]*host), make(map[string]int)
 	for _, h := range s.hosts {
-		resp, err := client.Get("http://" + h.ready + "/metrics")
+		text, err := os.ReadFile(filepath.Join(s.dir, h.name+".log"))
 		if err != nil {
 			return nil, err
 		}
-		found := false
-		for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
-			found = found || !strings.HasPrefix(lines.Text(), "#") && strings.HasSuffix(lines.Text(), "site_follows_store 1")
+		services := make(map[string]int)
+		for line := range strings.SplitSeq(string(text), "\n") {
+			if _, rest, ok := strings.Cut(line, `"service":"`); ok && strings.Contains(line, `"msg":"grant"`) {
+				name, _, _ := strings.Cut(rest, `"`)
+				services[name]++
+			}
+		}
+		n := 0
+		for _, count := range services {
+			if count >= 20 {
+				n++
+			}
 		}
-		_ = resp.Body.Close()
-		if found {
-			return h, nil
+		s.record.add("host", "%s grants servers for %d services", h.name, n)
+		if best[h.zone] == nil || n > most[h.zone] {
+			best[h.zone], most[h.zone] = h, n
 		}
 	}
-	return nil, fmt.Errorf("no host follows the store")
+	return best, nil
 }
--- a/review/standins-3/main_test.go
+++ b/review/standins-3/main_test.go
@@ -102,6 +102,8 @@
 
 // record is what was sent, answered and run.
 type record struct {
+	// quiet leaves out single requests that servers run, when there are very many.
+	quiet bool
 	mu    sync.Mutex
 	start time.Time
 	lines []string
--- a/review/standins-3/server_test.go
+++ b/review/standins-3/server_test.go
@@ -113,7 +113,9 @@
 		s.mu.Unlock()
 		s.free <- struct{}{}
 	}()
-	s.record.add("run", "request %s runs at server %s of service %s", id, s.id, s.service)
+	if !s.record.quiet {
+		s.record.add("run", "request %s runs at server %s of service %s", id, s.id, s.service)
+	}
 	s.record.ran(id, s.service, s.id)
 	body := fmt.Sprintf("the answer of service %s to request %s: %s\n", s.service, id, strings.Repeat("x", s.answerBytes))
 	select {
@@ -124,7 +126,7 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	case <-r.Context().Done():
-		s.record.add("drop", "server %s drops request %s, whose connection has closed", s.id, id)
+		s.record.add("dropped", "server %s drops request %s, whose connection has closed", s.id, id)
 		return
 	}
 	s.setLoad(w)
