wagsync, waghost: Log the era, revision and source of what a host knows

Change: the era that the store states is read (Store-Era) and recorded, no logic uses it yet. Lines of kind grant, request, attempt, server and config say the era, revision and age of the copy and from which host it came; dropped updates, another era and a gap between two checks of the links have lines of their own.

--- a/waggateway/attempt.go
+++ b/waggateway/attempt.go
@@ -58,8 +58,8 @@
 func (q *request) newAttempt(granted wagowner.Granted) *attempt {
 	q.attempts++
 	q.serversTried++
-	q.lastServer = granted.Server.ID
 	start := q.gateway.clock.Now()
+	q.lastServer, q.lastGrantedBy, q.lastSent = granted.Server.ID, granted.By, start
 	return &attempt{
 		granted: granted, number: q.attempts, start: start, timeLeft: q.deadline.Sub(start), access: q.access,
 		sentBefore: slices.Contains(q.avoidServers, granted.Server.ID),
@@ -118,7 +118,7 @@
 // attemptResult describes an attempt that has ended.
 func (q *request) attemptResult(t *attempt) AttemptResult {
 	result := AttemptResult{
-		RequestID: q.id, Service: q.service, ServerID: t.granted.Server.ID, Number: t.number, Fault: t.result.Fault, Reason: t.reason, Detail: t.detail,
+		RequestID: q.id, Service: q.service, ServerID: t.granted.Server.ID, GrantedBy: t.granted.By, Number: t.number, Fault: t.result.Fault, Reason: t.reason, Detail: t.detail,
 		ConnReused: t.connReused, Duration: t.result.Latency, TimeLeft: t.timeLeft,
 	}
 	if t.resp != nil {
--- a/waggateway/observe.go
+++ b/waggateway/observe.go
@@ -40,6 +40,10 @@
 	Reason string
 	// ServerID is the ID of the last server that the request was sent to.
 	ServerID string
+	// GrantedBy is the host whose owner granted ServerID; empty for this host.
+	GrantedBy string
+	// SentAt is when the request was last sent; zero if it never was.
+	SentAt   time.Time
 	Attempts int
 	// WaitTime is how long the request waited for servers, and Duration the time from
 	// its arrival to the start of the response.
@@ -51,6 +55,8 @@
 // AttemptResult describes an attempt that has ended.
 type AttemptResult struct {
 	RequestID, Service, ServerID string
+	// GrantedBy is the host whose owner granted the server; empty for this host.
+	GrantedBy string
 	// Number counts the attempts of the request from 1.
 	Number int
 	Fault  wagplacement.Fault
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -83,6 +83,8 @@
 	// lastServer is the ID of the last server that the request was sent to, and
 	// waitTime how long the request waited for servers.
 	lastServer    string
+	lastGrantedBy string
+	lastSent      time.Time
 	waitTime      time.Duration
 	configVersion wagsite.Version
 	// fallback is the error response of a server while another server is tried; nil
@@ -150,7 +152,7 @@
 	}
 	if q != nil {
 		result.Route, result.Service, result.ConfigVersion, result.ServerID, result.Attempts, result.WaitTime = q.route.Name, q.service, q.configVersion, q.lastServer, q.attempts, q.waitTime
-		result.Customer = q.access.customerName()
+		result.Customer, result.GrantedBy, result.SentAt = q.access.customerName(), q.lastGrantedBy, q.lastSent
 		result.WithinGoal = resp.outcome == OutcomeAnswered && result.Duration <= q.route.Goal
 	}
 	// net/http cancels the context of a request whose body was not received in time.
--- a/waghost/observe.go
+++ b/waghost/observe.go
@@ -9,14 +9,26 @@
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 	"github.com/wagtailspar/wagtailspar/wagserver"
+	"github.com/wagtailspar/wagtailspar/wagsync"
 )
 
 // observer writes the decisions of a host to its log and its metrics.
 type observer struct {
+	host      string
 	log       *waglog.Log
 	metrics   *wagmetrics.SiteMetrics
 	shortages *shortages
 	now       func() time.Time
+	// copyState returns the state of the store that the host knows, and its age.
+	copyState func() (wagsync.State, time.Duration)
+}
+
+// grantingHost returns the host that granted a server; name is empty for this host.
+func (o observer) grantingHost(name string) string {
+	if name == "" {
+		return o.host
+	}
+	return name
 }
 
 var (
@@ -43,6 +55,11 @@
 	if e.Customer != "" {
 		fields["customer"] = e.Customer
 	}
+	if !e.SentAt.IsZero() {
+		state, age := o.copyState()
+		fields["grantedBy"], fields["sinceSentMs"] = o.grantingHost(e.GrantedBy), ms(o.now().Sub(e.SentAt))
+		fields["revision"], fields["copyAgeMs"] = uint64(state.Revision), ms(age)
+	}
 	o.log.Info(waglog.KindRequest, fields)
 }
 
@@ -58,6 +75,7 @@
 	o.log.Info(waglog.KindAttempt, waglog.Fields{
 		"request": e.RequestID, "service": e.Service, "server": e.ServerID, "attempt": e.Number, "fault": e.Fault.String(), "status": e.Status,
 		"reason": e.Reason, "detail": e.Detail, "reused": e.ConnReused, "tookMs": ms(e.Duration), "leftMs": ms(e.TimeLeft),
+		"grantedBy": o.grantingHost(e.GrantedBy),
 	})
 }
 
@@ -76,6 +94,8 @@
 	if g.Inputs.Cold {
 		fields["cold"] = true
 	}
+	state, age := o.copyState()
+	fields["era"], fields["revision"], fields["copyAgeMs"] = uint64(state.Era), uint64(state.Revision), ms(age)
 	o.log.Info(waglog.KindGrant, fields)
 }
 
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -126,13 +126,13 @@
 	for _, o := range opts {
 		o(s)
 	}
-	obs := observer{log: s.log, metrics: s.metrics, shortages: newShortages(), now: s.clock.Now}
+	obs := observer{host: settings.Name, log: s.log, metrics: s.metrics, shortages: newShortages(), now: s.clock.Now, copyState: s.copyState}
 	s.observer = obs
 	limits := waglimits.Derive(settings.MemoryBytes, settings.MaxFileDescriptors)
 	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader(), wagupstream.WithMaxConnections(limits.ServerConnections), wagupstream.WithLog(s.log.Logger()))
 	s.owner = wagowner.New(settings.DataCentre, &prober{host: s, protocol: protocol}, wagowner.WithClock(s.clock), wagowner.WithObserver(obs), wagowner.WithLog(s.log.Logger()),
 		wagowner.WithLimits(settings.Limits))
-	s.sync = wagsync.New(store, s.applyRecords, decoder.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()), wagsync.WithFirstStart(settings.FirstStart))
+	s.sync = wagsync.New(store, s.applyChange, decoder.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()), wagsync.WithFirstStart(settings.FirstStart))
 	self := wagroster.Member{
 		Name: settings.Name, DataCentre: settings.DataCentre, Generation: uint64(s.clock.Now().UnixMilli()), Address: settings.PeerAddress,
 		MilliCores: settings.MilliCores,
@@ -172,15 +172,15 @@
 	}
 }
 
-// applyRecords applies the objects of the store that have changed.
-func (s *SiteHost) applyRecords(records []wagmirror.Record) {
+// applyChange applies the objects of the store that have changed.
+func (s *SiteHost) applyChange(c wagsync.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	serversChanged, evacuationsChanged := false, false
 	// The first list has hundreds of servers; one line says so.
 	isFirstList := len(s.servers) == 0
-	for _, r := range records {
+	for _, r := range c.Records {
 		if r.Deleted {
 			if dataCentre, ok := s.evacuations.remove(r); ok {
 				s.logEvacuation("takenBack", dataCentre, r)
@@ -190,7 +190,7 @@
 			_, known := s.servers[r.Name]
 			delete(s.servers, r.Name)
 			serversChanged = serversChanged || known
-			s.log.Info(waglog.KindServer, waglog.Fields{"server": r.Name, "event": "gone", "revision": r.Revision})
+			s.log.Info(waglog.KindServer, s.withOrigin(c, waglog.Fields{"server": r.Name, "event": "gone", "revision": r.Revision}))
 			continue
 		}
 		decoded, err := s.decode(r, now)
@@ -200,9 +200,9 @@
 		}
 		switch object := decoded.(type) {
 		case *wagsite.Config:
-			s.applyConfig(object)
+			s.applyConfig(c, r, object)
 		case wagserver.Instance:
-			serversChanged = s.updateServer(r, object, isFirstList) || serversChanged
+			serversChanged = s.updateServer(c, r, object, isFirstList) || serversChanged
 		case wagsite.Evacuation:
 			if s.evacuations.add(r, object) {
 				s.logEvacuation("evacuated", object.DataCentre, r)
@@ -259,8 +259,15 @@
 	s.log.Warn(kind, fields)
 }
 
+// withOrigin adds the fields that tell from whom this host has a change of the store, in
+// which era of the store, and how old its copy is.
+func (s *SiteHost) withOrigin(c wagsync.Change, f waglog.Fields) waglog.Fields {
+	f["from"], f["era"], f["copyAgeMs"] = c.From, uint64(c.Era), ms(s.copyAge())
+	return f
+}
+
 // applyConfig puts a configuration in force. s.mu must be held.
-func (s *SiteHost) applyConfig(c *wagsite.Config) {
+func (s *SiteHost) applyConfig(change wagsync.Change, r wagmirror.Record, c *wagsite.Config) {
 	s.metrics.ConfigWarnings.Set(float64(len(c.Warnings)))
 	for _, warning := range c.Warnings {
 		s.logFault(waglog.KindConfig, warning, waglog.Fields{"event": "usedInPart", "version": uint64(c.Version), "reason": warning})
@@ -274,18 +281,18 @@
 	s.owner.SetColdRates(coldRates(c))
 	s.owner.SetCustomers(quotaLimits(c), names)
 	s.metrics.ConfigVersion.Set(float64(c.Version))
-	s.log.Info(waglog.KindConfig, waglog.Fields{"event": "inForce", "version": uint64(c.Version), "copyAgeMs": ms(s.copyAge())})
+	s.log.Info(waglog.KindConfig, s.withOrigin(change, waglog.Fields{"event": "inForce", "version": uint64(c.Version), "revision": r.Revision}))
 }
 
 // updateServer records a server that has registered or changed, and logs it unless it is
 // one of the first list. It ignores a report that is older than the known one, which the
 // store has done late, and reports whether anything changed. s.mu must be held.
-func (s *SiteHost) updateServer(r wagmirror.Record, instance wagserver.Instance, isFirstList bool) bool {
+func (s *SiteHost) updateServer(c wagsync.Change, r wagmirror.Record, instance wagserver.Instance, isFirstList bool) bool {
 	old, known := s.servers[r.Name]
 	if known && old.Started.Equal(instance.Started) && instance.Sequence < old.Sequence {
-		s.log.Info(waglog.KindServer, waglog.Fields{
+		s.log.Info(waglog.KindServer, s.withOrigin(c, waglog.Fields{
 			"server": instance.ID, "event": "late", "revision": r.Revision, "sequence": instance.Sequence, "knownSequence": old.Sequence,
-		})
+		}))
 		return false
 	}
 	s.servers[r.Name] = instance
@@ -295,9 +302,10 @@
 	if known && !old.Started.Equal(instance.Started) {
 		s.upstream.LiftRestriction(wagupstream.Server{Address: instance.Address, ID: instance.ID})
 	}
-	s.log.Info(waglog.KindServer, waglog.Fields{
+	s.log.Info(waglog.KindServer, s.withOrigin(c, waglog.Fields{
 		"server": instance.ID, "service": instance.Service, "dataCentre": instance.DataCentre, "event": string(instance.State), "revision": r.Revision,
-	})
+		"sequence": instance.Sequence,
+	}))
 	return true
 }
 
@@ -311,9 +319,18 @@
 	return s.clock.Now().Sub(at)
 }
 
+// copyState returns the era and revision of the copy of the store's objects, and the time
+// since the store confirmed it.
+func (s *SiteHost) copyState() (state wagsync.State, age time.Duration) {
+	return s.sync.State(), s.copyAge()
+}
+
 // registerMetrics registers the metrics whose values are read at each scrape.
 func (s *SiteHost) registerMetrics() {
 	s.metrics.RegisterGauge("site_copy_age_seconds", "Time since the store confirmed the copy of its objects.", func() float64 { return s.copyAge().Seconds() })
+	s.metrics.RegisterGauge("site_store_era", "Latest known era of the store; 0 if it states none.", func() float64 { return float64(s.sync.State().Era) })
+	s.metrics.RegisterGauge("site_copy_revision", "Revision of the store up to which the copy of its objects is known.", func() float64 { return float64(s.sync.State().Revision) })
+	s.metrics.RegisterCounter("site_dropped_updates_total", "Updates of the objects that were dropped as old or incomplete.", func() float64 { return float64(s.sync.DroppedUpdates()) })
 	s.metrics.RegisterGauge("site_members", "Known hosts of the site.", func() float64 { return float64(len(s.mesh.Members())) })
 	s.metrics.RegisterGauge("site_follows_store", "1 while this host follows the store for others.", func() float64 {
 		if s.sync.IsFollowing() {
@@ -419,7 +436,7 @@
 	return func(server wagupstream.Server) bool { return registered[server] }
 }
 
-// pushChanges makes the mesh push changes to the peers until ctx ends. applyRecords must
+// pushChanges makes the mesh push changes to the peers until ctx ends. applyChange must
 // not do so itself, because the mesh may be calling it.
 func (s *SiteHost) pushChanges(ctx context.Context) error {
 	for {
--- a/waghost/site_test.go
+++ b/waghost/site_test.go
@@ -14,6 +14,7 @@
 	"github.com/wagtailspar/wagtailspar/wagserver"
 	"github.com/wagtailspar/wagtailspar/wagsite"
 	"github.com/wagtailspar/wagtailspar/wagstore"
+	"github.com/wagtailspar/wagtailspar/wagsync"
 )
 
 // fakeDecoder decodes objects whose body is the address of a server. All others are
@@ -57,12 +58,12 @@
 	entry := func(name, body string, revision wagmirror.Revision) wagmirror.Record {
 		return wagmirror.Record{Kind: "servers", Name: name, Revision: revision, Body: []byte(body)}
 	}
-	s.applyRecords([]wagmirror.Record{{Kind: "config", Name: "main", Revision: 1}, entry("odd", "{{{", 2), entry("s1", "10.0.0.1:80", 3), entry("s2", "10.0.0.2:80", 4)})
+	s.applyChange(wagsync.Change{Records: []wagmirror.Record{{Kind: "config", Name: "main", Revision: 1}, entry("odd", "{{{", 2), entry("s1", "10.0.0.1:80", 3), entry("s2", "10.0.0.2:80", 4)}})
 	is.Equal(len(s.servers), 2)
-	s.applyRecords([]wagmirror.Record{entry("s1", "10.0.0.1:99999", 5)})
+	s.applyChange(wagsync.Change{Records: []wagmirror.Record{entry("s1", "10.0.0.1:99999", 5)}})
 	is.Equal(len(s.servers), 1)
 	is.Equal(s.servers["s2"].Address.Port(), uint16(80))
-	s.applyRecords([]wagmirror.Record{entry("s1", "10.0.0.1:80", 6)})
+	s.applyChange(wagsync.Change{Records: []wagmirror.Record{entry("s1", "10.0.0.1:80", 6)}})
 	is.Equal(len(s.servers), 2)
 	is.Equal(len(s.loggedFaults), 3) // two entries and one route
 }
@@ -72,9 +73,9 @@
 func TestPanicAtEntry(t *testing.T) {
 	is := is.New(t)
 	s := NewSiteHost(SiteSettings{Name: "edge-1", DataCentre: "a"}, noStore{}, fakeDecoder{}, nil)
-	s.applyRecords([]wagmirror.Record{
+	s.applyChange(wagsync.Change{Records: []wagmirror.Record{
 		{Kind: "servers", Name: "odd", Revision: 1, Body: []byte("poison")}, {Kind: "servers", Name: "s1", Revision: 2, Body: []byte("10.0.0.1:80")},
-	})
+	}})
 	is.Equal(len(s.servers), 1)
 	is.Equal(s.servers["s1"].Address.Port(), uint16(80))
 }
@@ -106,7 +107,7 @@
 		{leaving + " 1000 11", leaving},
 		{live + " 2000 1", live}, // started again, and counts anew
 	} {
-		s.applyRecords([]wagmirror.Record{{Kind: "servers", Name: "s1", Revision: wagmirror.Revision(n + 1), Body: []byte(step.report)}})
+		s.applyChange(wagsync.Change{Records: []wagmirror.Record{{Kind: "servers", Name: "s1", Revision: wagmirror.Revision(n + 1), Body: []byte(step.report)}}})
 		is.Equal(string(s.servers["s1"].State), step.want)
 	}
 }
--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -310,7 +310,7 @@
 	h.owner = wagowner.New(m.DataCentre, h, append([]wagowner.Option{wagowner.WithLimits(wagowner.Limits{Quota: quota})}, s.ownerOptions...)...)
 	h.owner.SetServers(testServers())
 	changed, seeds := make(chan struct{}, 1), s.seeds
-	h.sync = wagsync.New(hostStore{s.store, m.Name}, func([]wagmirror.Record) {
+	h.sync = wagsync.New(hostStore{s.store, m.Name}, func(wagsync.Change) {
 		select {
 		case changed <- struct{}{}:
 		default:
--- a/wagmesh/fuzz_test.go
+++ b/wagmesh/fuzz_test.go
@@ -12,7 +12,6 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 	"github.com/wagtailspar/wagtailspar/wagsync"
@@ -48,7 +47,7 @@
 		h := &host{member: self, site: &site{probes: make(map[string]int)}, log: log}
 		owner := wagowner.New(self.DataCentre, h)
 		owner.SetServers(testServers())
-		s := wagsync.New(hostStore{newStore(), self.Name}, func([]wagmirror.Record) {}, []string{testKind}, wagsync.WithLog(log))
+		s := wagsync.New(hostStore{newStore(), self.Name}, func(wagsync.Change) {}, []string{testKind}, wagsync.WithLog(log))
 		m := New(self, s, owner, WithLog(log), WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) { return nil, errRefused }))
 		ctx, cancel := context.WithCancelCause(context.Background())
 		defer cancel(nil)
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -399,6 +399,7 @@
 	if !l.exchangesUpdates() {
 		return
 	}
+	u.From = l.peer.Name
 	if !l.mesh.sync.Apply(u) {
 		return
 	}
--- a/wagmesh/place.go
+++ b/wagmesh/place.go
@@ -248,7 +248,7 @@
 			return
 		}
 		id := p.GetId()
-		sent.outcome <- wagowner.Granted{Server: server, HedgeAfter: milliseconds(int64(p.GetHedgeAfter())), Finish: func(r wagplacement.Result) {
+		sent.outcome <- wagowner.Granted{Server: server, By: l.peer.Name, HedgeAfter: milliseconds(int64(p.GetHedgeAfter())), Finish: func(r wagplacement.Result) {
 			l.enqueue(func(f *Frame) { f.Finishes = append(f.Finishes, finishMessage(id, r)) })
 		}}
 	default:
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -116,6 +116,8 @@
 	// services are the services to whose owners this host keeps a link.
 	services  []string
 	startedAt time.Time
+	// lastTick is when tick was last called.
+	lastTick time.Time
 	// quotaCoordinators holds the selected quota coordinators, by shard.
 	quotaCoordinators map[int]quotaCoordinator
 	// inboundLinks counts the open links that other hosts opened, and unknownConns the
@@ -244,6 +246,10 @@
 func (m *Mesh) tick() time.Time {
 	now := m.clock.Now()
 	m.mu.Lock()
+	if gap := now.Sub(m.lastTick); !m.lastTick.IsZero() && gap > silenceTimeout {
+		m.log.WithFields(logrus.Fields{"gapMs": gap.Milliseconds(), "copyAgeMs": m.copyAge(now).Milliseconds()}).Warning("this host did not run for a while")
+	}
+	m.lastTick = now
 	upstream, hasUpstream := m.roster.Upstream(now)
 	self := m.roster.Self()
 	m.updateUpstream(now, upstream, hasUpstream)
--- a/wagmirror/wagmirror.go
+++ b/wagmirror/wagmirror.go
@@ -11,6 +11,11 @@
 // objects together; 0 means no change yet.
 type Revision uint64
 
+// Era counts how often the store has come back from a copy of itself. A store gives out
+// the revisions after the copy again then, so that revisions of different eras cannot be
+// compared. It is 0 at a store that states none.
+type Era uint64
+
 // Record is the state of one object at its latest change.
 type Record struct {
 	Kind     string
@@ -75,6 +80,10 @@
 // Update holds the objects of one kind, or their changes after a revision.
 type Update struct {
 	Kind string
+	// From is who sent the update, for the log: a host, or empty for the store.
+	From string
+	// Era is the era of the store in which the objects were read.
+	Era Era
 	// Full means that Records holds every object of the kind. Otherwise it holds the
 	// changes after Since.
 	Full  bool
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -27,6 +27,8 @@
 // the result of the attempt.
 type Granted struct {
 	Server wagserver.Instance
+	// By is the host whose owner granted the slot; empty for this host.
+	By string
 	// HedgeAfter is how long to wait for a response before a second server may be asked
 	// for a request that may run twice; 0 means never.
 	HedgeAfter time.Duration
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagmirror"
@@ -47,8 +48,16 @@
 	maxRetryDelay   = time.Second
 )
 
-// ChangeHandler is called with the records that changed. Calls do not overlap.
-type ChangeHandler func(records []wagmirror.Record)
+// Change holds the records that an update has changed.
+type Change struct {
+	Records []wagmirror.Record
+	// From is the host that sent the update, or empty for the store.
+	From string
+	Era  wagmirror.Era
+}
+
+// ChangeHandler is called with each change. Calls do not overlap.
+type ChangeHandler func(c Change)
 
 // Sync keeps a copy of the store's objects up to date. It is safe for concurrent use.
 type Sync struct {
@@ -73,8 +82,12 @@
 	kinds map[string]*kindState
 	// primaryKind is the kind whose watches are always short.
 	primaryKind string
-	// storeRevision is the latest revision that the store reported.
+	// storeRevision is the latest revision that the store reported, and storeEra its era.
 	storeRevision wagmirror.Revision
+	storeEra      wagmirror.Era
+	// droppedLog limits the lines about dropped updates, and droppedUpdates counts them.
+	droppedLog     *rate.Limiter
+	droppedUpdates uint64
 	// startedAt is when Run was called.
 	startedAt time.Time
 	// peerConfirmed is when the copy was last complete according to other hosts.
@@ -132,7 +145,7 @@
 // with short watches, which also show changes of the others.
 func New(store wagmirror.Store, onChange ChangeHandler, kinds []string, opts ...Option) *Sync {
 	s := &Sync{
-		store: store, clock: wagclock.System{}, log: logrus.StandardLogger(), onChange: onChange,
+		store: store, clock: wagclock.System{}, log: logrus.StandardLogger(), onChange: onChange, droppedLog: newDroppedLog(),
 		followingStarted: make(chan struct{}), mirror: wagmirror.New(kinds...), kinds: make(map[string]*kindState), primaryKind: kinds[0],
 		onConfirmed: func() {}, expectation: func() Expectation { return ExpectNothing }, connectionDelay: connectionDelay, transferDelay: transferDelay,
 	}
@@ -300,6 +313,7 @@
 	if err != nil {
 		return err
 	}
+	s.recordEra(u)
 	s.apply(u, "store")
 	s.recordResponse(kind, u.At, began)
 	return nil
@@ -353,6 +367,7 @@
 		// than one that came in time.
 		u.At, confirmed = after, wagclock.Earlier(confirmed, deadline)
 	}
+	s.recordEra(u)
 	s.apply(u, "store")
 	s.recordResponse(kind, storeRevision, confirmed)
 	return nil
@@ -382,8 +397,15 @@
 	s.deliveryMu.Lock()
 	defer s.deliveryMu.Unlock()
 	s.mu.Lock()
-	isFirst := s.mirror.CompleteRevision(u.Kind) == 0
+	known := s.mirror.CompleteRevision(u.Kind)
+	isFirst := known == 0
 	records, ok := s.mirror.Apply(u)
+	switch {
+	case !ok:
+		s.recordDropped(u, known, "gap")
+	case u.Full && u.At < known:
+		s.recordDropped(u, known, "older")
+	}
 	if isFirst && s.mirror.CompleteRevision(u.Kind) > 0 {
 		s.log.WithFields(logrus.Fields{
 			"kind": u.Kind, "from": source, "objects": len(records), "afterMs": s.clock.Now().Sub(s.startedAt).Milliseconds(),
@@ -392,7 +414,7 @@
 	s.mu.Unlock()
 	if len(records) > 0 {
 		_ = wagpanic.Catch(s.log, func() error { // logs the error
-			s.onChange(records)
+			s.onChange(Change{Records: records, From: u.From, Era: u.Era})
 			return nil
 		})
 	}
--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -216,10 +216,10 @@
 	})
 }
 
-func (x *fixture) changed(records []wagmirror.Record) {
+func (x *fixture) changed(c Change) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for _, r := range records {
+	for _, r := range c.Records {
 		x.received[r.Kind+"/"+r.Name] = r.Revision
 	}
 }
@@ -517,11 +517,11 @@
 		sleep(time.Second)
 		is.Equal(x.revisionOf("config/main"), at)
 	}, func(x *fixture) {
-		x.sync.onChange = func(records []wagmirror.Record) {
-			if records[0].Name == "poison" {
+		x.sync.onChange = func(c Change) {
+			if c.Records[0].Name == "poison" {
 				panic("unexpected change")
 			}
-			x.changed(records)
+			x.changed(c)
 		}
 	})
 }
