wagmirror, wagsync, wagmesh: Identify a state of the store by its era, too

Cause: copies were compared by revision alone, and a store that comes back gives out the revisions after the copy again. The list after the 410 was dropped as older than the copy, and all changes up to the former revision counted as known. Hosts compared the same way with each other, and nothing read Store-Era.

Fix: wagmirror.Position, era before revision, in lists, watches, updates and heartbeats between hosts and confirmations. Only a full list is applied across an era; what is of a former era is dropped and confirms nothing; a list whose pages are of two eras fails.

Why it works: no two states have the same position, so that "known" cannot mean a state that was lost.

Tests changed: names of methods (CompleteRevision to Complete, CompleteRevisions to Positions), and the stores of the tests know eras. No check was changed.

--- a/waghost/evacuation.go
+++ b/waghost/evacuation.go
@@ -18,10 +18,16 @@
 // objectKey identifies an object of the store.
 type objectKey struct{ kind, name string }
 
+// evacuated is an evacuated data centre, and the revision of the object that says so.
+type evacuated struct {
+	dataCentre string
+	revision   wagmirror.Revision
+}
+
 // evacuations holds the evacuated data centres. Only maySend may be called concurrently.
 type evacuations struct {
 	// dataCentres holds the evacuated data centre of each object.
-	dataCentres map[objectKey]string
+	dataCentres map[objectKey]evacuated
 	// serverCount is the number of servers in evacuated data centres.
 	serverCount int
 	// sendable holds the IDs of the servers outside the evacuated data centres. It is nil
@@ -32,28 +38,27 @@
 // add records an evacuation and reports whether it was not known.
 func (e *evacuations) add(r wagmirror.Record, x wagsite.Evacuation) bool {
 	key := objectKey{r.Kind, r.Name}
-	if known, ok := e.dataCentres[key]; ok && known == x.DataCentre {
-		return false
-	}
+	known, ok := e.dataCentres[key]
 	if e.dataCentres == nil {
-		e.dataCentres = make(map[objectKey]string)
+		e.dataCentres = make(map[objectKey]evacuated)
 	}
-	e.dataCentres[key] = x.DataCentre
-	return true
+	e.dataCentres[key] = evacuated{dataCentre: x.DataCentre, revision: r.Revision}
+	return !ok || known.dataCentre != x.DataCentre
 }
 
-// remove ends the evacuation of a deleted object. It returns false if the object was none.
-func (e *evacuations) remove(r wagmirror.Record) (dataCentre string, ok bool) {
+// remove ends the evacuation of a deleted object and returns the revision of its last
+// record. It returns false if the object was none.
+func (e *evacuations) remove(r wagmirror.Record) (dataCentre string, revision wagmirror.Revision, ok bool) {
 	key := objectKey{r.Kind, r.Name}
-	dataCentre, ok = e.dataCentres[key]
+	known, ok := e.dataCentres[key]
 	delete(e.dataCentres, key)
-	return dataCentre, ok
+	return known.dataCentre, known.revision, ok
 }
 
 // isEvacuated reports whether a data centre is evacuated.
 func (e *evacuations) isEvacuated(dataCentre string) bool {
-	for _, name := range e.dataCentres {
-		if name == dataCentre {
+	for _, x := range e.dataCentres {
+		if x.dataCentre == dataCentre {
 			return true
 		}
 	}
--- a/waghost/evacuation_test.go
+++ b/waghost/evacuation_test.go
@@ -65,7 +65,7 @@
 // change applies the change of one evacuation at a revision.
 func (h *evacuationHost) change(at wagmirror.Revision, dataCentre string, deleted bool) {
 	h.revision = max(h.revision, at)
-	h.sync.Apply(wagmirror.Update{Kind: "evacuations", Since: h.sync.CompleteRevisions()["evacuations"], At: at, Records: []wagmirror.Record{
+	h.sync.Apply(wagmirror.Update{Kind: "evacuations", Since: h.sync.Positions()["evacuations"].Revision, At: at, Records: []wagmirror.Record{
 		{Kind: "evacuations", Name: dataCentre, Revision: at, Deleted: deleted, Body: []byte("{{{")},
 	}})
 }
--- a/waghost/observe.go
+++ b/waghost/observe.go
@@ -6,10 +6,10 @@
 	"github.com/wagtailspar/wagtailspar/waggateway"
 	"github.com/wagtailspar/wagtailspar/waglog"
 	"github.com/wagtailspar/wagtailspar/wagmetrics"
+	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
 	"github.com/wagtailspar/wagtailspar/wagserver"
-	"github.com/wagtailspar/wagtailspar/wagsync"
 )
 
 // observer writes the decisions of a host to its log and its metrics.
@@ -19,8 +19,8 @@
 	metrics   *wagmetrics.SiteMetrics
 	shortages *shortages
 	now       func() time.Time
-	// copyState returns the state of the store that the host knows, and its age.
-	copyState func() (wagsync.State, time.Duration)
+	// copyState returns the position of the copy of the store, and its age.
+	copyState func() (wagmirror.Position, time.Duration)
 }
 
 // grantingHost returns the host that granted a server; name is empty for this host.
--- a/waghost/shortage_test.go
+++ b/waghost/shortage_test.go
@@ -13,7 +13,7 @@
 	"github.com/wagtailspar/wagtailspar/waggateway"
 	"github.com/wagtailspar/wagtailspar/waglog"
 	"github.com/wagtailspar/wagtailspar/wagmetrics"
-	"github.com/wagtailspar/wagtailspar/wagsync"
+	"github.com/wagtailspar/wagtailspar/wagmirror"
 )
 
 // Guards against a log line for each refused caller, against a shortage that ends while
@@ -46,7 +46,7 @@
 	is := is.New(t)
 	var out bytes.Buffer
 	log, metrics, now := waglog.New(&out, "edge-1"), wagmetrics.NewSiteMetrics(), time.Unix(1000, 0)
-	o := observer{log: log, metrics: metrics, shortages: newShortages(), now: func() time.Time { return now }, copyState: func() (wagsync.State, time.Duration) { return wagsync.State{}, 0 }}
+	o := observer{log: log, metrics: metrics, shortages: newShortages(), now: func() time.Time { return now }, copyState: func() (wagmirror.Position, time.Duration) { return wagmirror.Position{}, 0 }}
 	o.RequestEnded(waggateway.RequestResult{Outcome: waggateway.OutcomeRefused, Reason: "overload"})
 	is.Equal(testutil.CollectAndCount(metrics.CallersRefused), 0)
 	for range 3 {
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -60,6 +60,9 @@
 	// ApplyTimeout is the time within which a change of the store has to be in force; 0 for
 	// wagroster.DefaultApplyTimeout.
 	ApplyTimeout time.Duration
+	// RegistrationTimeout is the time without a report after which the store removes the
+	// entry of a server; 0 for 4.5 s.
+	RegistrationTimeout time.Duration
 	// FollowEvacuations is set if the kinds of the ObjectDecoder include evacuations.
 	FollowEvacuations bool
 	// Limits bound the retries and probes of the server groups that this host owns.
@@ -93,6 +96,10 @@
 	servers map[string]wagserver.Instance
 	// evacuations holds the evacuations in force.
 	evacuations evacuations
+	// restoration holds what this host goes by after the store has come back from a copy.
+	restoration restoration
+	// configVersion is the version of the configuration in force.
+	configVersion wagsite.Version
 	// evacuationsKnown is set when this host waits for the evacuations no longer, which it
 	// does until evacuationsWaitUntil at the latest.
 	evacuationsKnown     atomic.Bool
@@ -122,6 +129,7 @@
 	s := &SiteHost{
 		settings: settings, decoder: decoder, clock: wagclock.System{}, log: waglog.Discard(), metrics: wagmetrics.NewSiteMetrics(),
 		servers: make(map[string]wagserver.Instance), loggedFaults: make(map[string]bool), pushPending: make(chan struct{}, 1),
+		restoration: newRestoration(),
 	}
 	for _, o := range opts {
 		o(s)
@@ -180,17 +188,14 @@
 	serversChanged, evacuationsChanged := false, false
 	// The first list has hundreds of servers; one line says so.
 	isFirstList := len(s.servers) == 0
+	isRestored := s.restoration.recordEra(c)
 	for _, r := range c.Records {
 		if r.Deleted {
-			if dataCentre, ok := s.evacuations.remove(r); ok {
-				s.logEvacuation("takenBack", dataCentre, r)
-				evacuationsChanged = true
-				continue
+			changed, isEvacuation := s.endEvacuation(r, isRestored, now)
+			evacuationsChanged = evacuationsChanged || changed
+			if !isEvacuation {
+				serversChanged = s.removeServer(c, r, isRestored, now) || serversChanged
 			}
-			_, known := s.servers[r.Name]
-			delete(s.servers, r.Name)
-			serversChanged = serversChanged || known
-			s.log.Info(waglog.KindServer, s.withOrigin(c, waglog.Fields{"server": r.Name, "event": "gone", "revision": r.Revision}))
 			continue
 		}
 		decoded, err := s.decode(r, now)
@@ -202,12 +207,11 @@
 		case *wagsite.Config:
 			s.applyConfig(c, r, object)
 		case wagserver.Instance:
-			serversChanged = s.updateServer(c, r, object, isFirstList) || serversChanged
-		case wagsite.Evacuation:
-			if s.evacuations.add(r, object) {
-				s.logEvacuation("evacuated", object.DataCentre, r)
-				evacuationsChanged = true
+			if !s.withholdServer(c, r, object, isRestored, now) {
+				serversChanged = s.updateServer(c, r, object, isFirstList) || serversChanged
 			}
+		case wagsite.Evacuation:
+			evacuationsChanged = s.addEvacuation(r, object, isRestored, now) || evacuationsChanged
 		}
 	}
 	if serversChanged || evacuationsChanged {
@@ -266,8 +270,14 @@
 	return f
 }
 
-// applyConfig puts a configuration in force. s.mu must be held.
+// applyConfig puts a configuration in force unless a later version is, as after the store
+// has come back from a copy. s.mu must be held.
 func (s *SiteHost) applyConfig(change wagsync.Change, r wagmirror.Record, c *wagsite.Config) {
+	if c.Version < s.configVersion {
+		s.log.Info(waglog.KindConfig, s.withOrigin(change, waglog.Fields{"event": "older", "version": uint64(c.Version), "revision": r.Revision}))
+		return
+	}
+	s.configVersion = c.Version
 	s.metrics.ConfigWarnings.Set(float64(len(c.Warnings)))
 	for _, warning := range c.Warnings {
 		s.logFault(waglog.KindConfig, warning, waglog.Fields{"event": "usedInPart", "version": uint64(c.Version), "reason": warning})
@@ -319,17 +329,17 @@
 	return s.clock.Now().Sub(at)
 }
 
-// copyState returns the era and revision of the copy of the store's objects, and the time
-// since the store confirmed it.
-func (s *SiteHost) copyState() (state wagsync.State, age time.Duration) {
-	return s.sync.State(), s.copyAge()
+// copyState returns the position of the copy of the store's objects, and the time since the
+// store confirmed it.
+func (s *SiteHost) copyState() (position wagmirror.Position, age time.Duration) {
+	return s.sync.Position(), s.copyAge()
 }
 
 // registerMetrics registers the metrics whose values are read at each scrape.
 func (s *SiteHost) registerMetrics() {
 	s.metrics.RegisterGauge("site_copy_age_seconds", "Time since the store confirmed the copy of its objects.", func() float64 { return s.copyAge().Seconds() })
-	s.metrics.RegisterGauge("site_store_era", "Latest known era of the store; 0 if it states none.", func() float64 { return float64(s.sync.State().Era) })
-	s.metrics.RegisterGauge("site_copy_revision", "Revision of the store up to which the copy of its objects is known.", func() float64 { return float64(s.sync.State().Revision) })
+	s.metrics.RegisterGauge("site_store_era", "Latest known era of the store; 0 if it states none.", func() float64 { return float64(s.sync.Position().Era) })
+	s.metrics.RegisterGauge("site_copy_revision", "Revision of the store up to which the copy of its objects is known.", func() float64 { return float64(s.sync.Position().Revision) })
 	s.metrics.RegisterCounter("site_dropped_updates_total", "Updates of the objects that were dropped as old or incomplete.", func() float64 { return float64(s.sync.DroppedUpdates()) })
 	s.metrics.RegisterGauge("site_members", "Known hosts of the site.", func() float64 { return float64(len(s.mesh.Members())) })
 	s.metrics.RegisterGauge("site_follows_store", "1 while this host follows the store for others.", func() float64 {
@@ -398,6 +408,7 @@
 	g.Go(func() error { return s.owner.Run(sharedCtx) })
 	g.Go(func() error { return s.mesh.Run(sharedCtx, listeners[2]) })
 	g.Go(func() error { return s.pushChanges(sharedCtx) })
+	g.Go(func() error { return s.awaitRestoration(sharedCtx) })
 	g.Go(func() error {
 		for wagclock.Wait(sharedCtx, s.clock, s.clock.Now().Add(pruneInterval)) {
 			s.upstream.Prune(s.registrationCheck())
--- a/wagmesh/changes.go
+++ b/wagmesh/changes.go
@@ -2,10 +2,10 @@
 
 import "github.com/wagtailspar/wagtailspar/wagmirror"
 
-// updateKey identifies the changes of a kind after one revision up to another.
+// updateKey identifies the changes of a kind after one position up to another.
 type updateKey struct {
 	kind      string
-	since, at wagmirror.Revision
+	since, at wagmirror.Position
 }
 
 // maxEncodedUpdates bounds the updates that are kept.
@@ -17,16 +17,16 @@
 	m.mu.Lock()
 	links := m.allLinks()
 	m.mu.Unlock()
-	complete := m.sync.CompleteRevisions()
+	complete := m.sync.Positions()
 	for _, l := range links {
 		l.pushUpdates(complete)
 	}
 }
 
-// encodedUpdate returns the message with the changes of a kind after a revision.
-func (m *Mesh) encodedUpdate(kind string, since wagmirror.Revision) (*Update, error) {
+// encodedUpdate returns the message with the changes of a kind after a position.
+func (m *Mesh) encodedUpdate(kind string, since wagmirror.Position) (*Update, error) {
 	u := m.sync.UpdateSince(kind, since)
-	key := updateKey{kind: kind, since: since, at: u.At}
+	key := updateKey{kind: kind, since: since, at: u.Position()}
 	m.encodeMu.Lock()
 	defer m.encodeMu.Unlock()
 	if message, ok := m.encodedUpdates[key]; ok {
--- a/wagmesh/evacuation_test.go
+++ b/wagmesh/evacuation_test.go
@@ -39,7 +39,7 @@
 					for _, h := range s.hosts {
 						is.True(h.knownRevision() >= at)
 						if follows(h.member) {
-							is.True(h.sync.CompleteRevisions()[evacuationKind] >= at)
+							is.True(h.sync.Positions()[evacuationKind].Revision >= at)
 						}
 					}
 					sleep(time.Duration(n)*370*time.Millisecond + 5*time.Second)
--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -381,7 +381,7 @@
 }
 
 // knownRevision returns the revision of a host's copy.
-func (h *host) knownRevision() wagmirror.Revision { return h.sync.CompleteRevisions()[testKind] }
+func (h *host) knownRevision() wagmirror.Revision { return h.sync.Positions()[testKind].Revision }
 
 // followers returns the hosts that follow the store.
 func (s *site) followers() (names []string) {
--- a/wagmesh/heartbeat.go
+++ b/wagmesh/heartbeat.go
@@ -15,10 +15,10 @@
 func (l *link) handleHeartbeat(now time.Time, b *Beat) {
 	l.mu.Lock()
 	for _, c := range b.GetComplete() {
-		l.peerRevisions[c.GetKind()] = wagmirror.Revision(c.GetRevision())
+		l.peerPositions[c.GetKind()] = positionFromMessage(c)
 	}
 	l.mu.Unlock()
-	complete := l.mesh.sync.CompleteRevisions()
+	complete := l.mesh.sync.Positions()
 	l.pushUpdates(complete)
 	l.mesh.setPeerDisconnected(now, l.peer.Name, b.GetDisconnected())
 	l.mu.Lock()
@@ -40,7 +40,7 @@
 		return
 	}
 	for _, c := range b.GetComplete() {
-		if complete[c.GetKind()] < wagmirror.Revision(c.GetRevision()) {
+		if complete[c.GetKind()].Before(positionFromMessage(c)) {
 			// Changes that the peer already has are still in transit.
 			return
 		}
@@ -49,7 +49,7 @@
 }
 
 // coversKinds reports whether a peer follows all kinds of this host.
-func coversKinds(list []*Complete, complete map[string]wagmirror.Revision) bool {
+func coversKinds(list []*Complete, complete map[string]wagmirror.Position) bool {
 	for kind := range complete {
 		if !slices.ContainsFunc(list, func(c *Complete) bool { return c.GetKind() == kind }) {
 			return false
@@ -58,15 +58,15 @@
 	return true
 }
 
-// pushUpdates sends the changes that the peer's copy lacks. complete holds the revision
+// pushUpdates sends the changes that the peer's copy lacks. complete holds the position
 // of each kind up to which this host's copy is complete.
-func (l *link) pushUpdates(complete map[string]wagmirror.Revision) {
-	for kind, revision := range complete {
+func (l *link) pushUpdates(complete map[string]wagmirror.Position) {
+	for kind, position := range complete {
 		l.mu.Lock()
-		known := l.peerRevisions[kind]
-		behind := (l.subscribed || l.peerSubscribed) && revision > known
+		known := l.peerPositions[kind]
+		behind := (l.subscribed || l.peerSubscribed) && known.Before(position)
 		if behind {
-			l.peerRevisions[kind] = revision
+			l.peerPositions[kind] = position
 		}
 		l.mu.Unlock()
 		if !behind {
@@ -144,10 +144,10 @@
 	return (l.subscribed || l.peerSubscribed) && confirmed.Sub(l.peerConfirmedAt) > minConfirmationGain
 }
 
-// completeMessages returns the revisions up to which the copy of this host is complete.
+// completeMessages returns the positions up to which the copy of this host is complete.
 func (m *Mesh) completeMessages() (list []*Complete) {
-	for kind, revision := range m.sync.CompleteRevisions() {
-		list = append(list, &Complete{Kind: kind, Revision: uint64(revision)})
+	for kind, position := range m.sync.Positions() {
+		list = append(list, &Complete{Kind: kind, Era: uint64(position.Era), Revision: uint64(position.Revision)})
 	}
 	return list
 }
@@ -157,7 +157,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, kind := range l.mesh.sync.Kinds() {
-		if l.peerRevisions[kind] == 0 {
+		if l.peerPositions[kind].Revision == 0 {
 			return false
 		}
 	}
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -70,9 +70,9 @@
 	// lastReceived is when the latest frame was received, and nextHeartbeat when the
 	// next heartbeat is due.
 	lastReceived, nextHeartbeat time.Time
-	// peerRevisions holds, for each kind, the revision up to which the peer's copy is
+	// peerPositions holds, for each kind, the position up to which the peer's copy is
 	// complete.
-	peerRevisions map[string]wagmirror.Revision
+	peerPositions map[string]wagmirror.Position
 	// peerConfirmedAt is when the peer's copy was last confirmed, as far as it said or was
 	// told so on the link.
 	peerConfirmedAt time.Time
@@ -99,7 +99,7 @@
 	now := m.clock.Now()
 	return &link{
 		mesh: m, cancel: cancel, greeted: make(chan struct{}), ready: make(chan struct{}, 1), lastReceived: now, nextHeartbeat: now, lastPlaced: now,
-		peerRevisions: make(map[string]wagmirror.Revision), sentRequests: make(map[uint64]*sentRequest),
+		peerPositions: make(map[string]wagmirror.Position), sentRequests: make(map[uint64]*sentRequest),
 		waitingTickets: make(map[uint64]wagowner.Ticket), grantFinishers: make(map[uint64]func(wagplacement.Result)),
 	}
 }
@@ -404,7 +404,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.peerRevisions[u.Kind] = max(l.peerRevisions[u.Kind], u.At)
+	l.peerPositions[u.Kind] = wagmirror.LaterPosition(l.peerPositions[u.Kind], u.Position())
 	l.mu.Unlock()
 	l.mesh.PushChanges()
 }
--- a/wagmesh/message.go
+++ b/wagmesh/message.go
@@ -35,13 +35,18 @@
 	}, true
 }
 
+// positionFromMessage returns the position up to which a copy is complete.
+func positionFromMessage(m *Complete) wagmirror.Position {
+	return wagmirror.Position{Era: wagmirror.Era(m.GetEra()), Revision: wagmirror.Revision(m.GetRevision())}
+}
+
 // minCompressBytes is the size from which the records of an update are compressed. The
 // objects of servers repeat their field names and shrink to a tenth.
 const minCompressBytes = 4 << 10
 
 // updateMessage converts an update to its message and compresses large records.
 func updateMessage(u wagmirror.Update) (*Update, error) {
-	m := &Update{Kind: u.Kind, Full: u.Full, Since: uint64(u.Since), At: uint64(u.At)}
+	m := &Update{Kind: u.Kind, Era: uint64(u.Era), Full: u.Full, Since: uint64(u.Since), At: uint64(u.At)}
 	size := 0
 	for _, r := range u.Records {
 		m.Records = append(m.Records, &Record{Name: r.Name, Revision: uint64(r.Revision), Body: r.Body, Deleted: r.Deleted})
@@ -74,7 +79,7 @@
 
 // updateFromMessage converts a message to an update and decompresses its records.
 func updateFromMessage(m *Update) (u wagmirror.Update, err error) {
-	u = wagmirror.Update{Kind: m.GetKind(), Full: m.GetFull(), Since: wagmirror.Revision(m.GetSince()), At: wagmirror.Revision(m.GetAt())}
+	u = wagmirror.Update{Kind: m.GetKind(), Era: wagmirror.Era(m.GetEra()), Full: m.GetFull(), Since: wagmirror.Revision(m.GetSince()), At: wagmirror.Revision(m.GetAt())}
 	records := m.GetRecords()
 	if len(m.GetCompressed()) > 0 {
 		data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(m.GetCompressed())), maxRecordsBytes+1))
--- a/wagmesh/store_test.go
+++ b/wagmesh/store_test.go
@@ -13,7 +13,10 @@
 // store is a store with one configuration object. Its requests fail for some hosts.
 type store struct {
 	mu       sync.Mutex
+	era      wagmirror.Era
 	revision wagmirror.Revision
+	// body is the text of the object; empty stands for its revision.
+	body string
 	// changed is closed and replaced when the object or refused changes.
 	changed chan struct{}
 	// refused holds the hosts whose requests fail with wagstore.ErrUnavailable.
@@ -78,7 +81,10 @@
 // snapshot returns the object of a kind, the revision and whether the host is refused; s.mu is
 // held.
 func (s hostStore) snapshot(kind string) (wagmirror.Record, wagmirror.Revision, bool) {
-	r := wagmirror.Record{Kind: kind, Name: "main", Revision: s.revision, Body: []byte(fmt.Sprint(s.revision))}
+	r := wagmirror.Record{Kind: kind, Name: "main", Revision: s.revision, Body: []byte(s.body)}
+	if s.body == "" {
+		r.Body = []byte(fmt.Sprint(s.revision))
+	}
 	return r, s.revision, s.refused[s.host]
 }
 
@@ -124,7 +130,7 @@
 	if refused {
 		return wagmirror.Update{}, wagstore.ErrUnavailable
 	}
-	return wagmirror.Update{Kind: kind, Full: true, At: at, Records: []wagmirror.Record{r}}, nil
+	return wagmirror.Update{Kind: kind, Era: s.era, Full: true, At: at, Records: []wagmirror.Record{r}}, nil
 }
 
 func (s hostStore) Watch(ctx context.Context, kind string, after wagmirror.Revision, until time.Time) (wagmirror.Update, error) {
@@ -139,10 +145,14 @@
 		r, at, refused := s.snapshot(kind)
 		changed := s.changed
 		s.mu.Unlock()
-		u := wagmirror.Update{Kind: kind, Since: after, At: at}
+		s.mu.Lock()
+		u := wagmirror.Update{Kind: kind, Era: s.era, Since: after, At: at}
+		s.mu.Unlock()
 		switch {
 		case refused:
 			return u, wagstore.ErrUnavailable
+		case after > at:
+			return u, wagstore.ErrGap
 		case at > after:
 			u.Records = []wagmirror.Record{r}
 			return u, nil
--- a/wagmirror/wagmirror.go
+++ b/wagmirror/wagmirror.go
@@ -3,6 +3,7 @@
 package wagmirror
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 )
@@ -16,6 +17,29 @@
 // compared. It is 0 at a store that states none.
 type Era uint64
 
+// Position identifies a state of the store. Positions are ordered by era, and within an era
+// by revision. The zero value comes before all states.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// Compare returns -1, 0 or 1 if p is earlier than q, equal to it, or later.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
+// Before reports whether p is earlier than q.
+func (p Position) Before(q Position) bool { return p.Compare(q) < 0 }
+
+// LaterPosition returns the later one of two positions.
+func LaterPosition(p, q Position) Position {
+	if p.Before(q) {
+		return q
+	}
+	return p
+}
+
 // Record is the state of one object at its latest change.
 type Record struct {
 	Kind     string
@@ -34,11 +58,13 @@
 
 // kind is the copy of the objects of one kind.
 type kind struct {
-	// completeRevision is the revision up to which all changes are known.
-	completeRevision Revision
-	// records holds the live objects and the deletions that were not dropped, by name.
+	// complete is the position up to which all changes are known.
+	complete Position
+	// records holds the live objects and the deletions that were not dropped, by name. All
+	// are of the era of complete.
 	records map[string]Record
-	// droppedRevision is the revision up to which deletions may have been dropped.
+	// droppedRevision is the revision up to which deletions of the era may be missing in
+	// records.
 	droppedRevision Revision
 	// deletions is the number of deletions in records.
 	deletions int
@@ -67,14 +93,14 @@
 	return names
 }
 
-// CompleteRevision returns the revision up to which all changes of a kind are known, or
-// 0 when its objects were never read.
-func (m *Mirror) CompleteRevision(kindName string) Revision {
+// Complete returns the position up to which all changes of a kind are known, or the zero
+// value when its objects were never read.
+func (m *Mirror) Complete(kindName string) Position {
 	k, ok := m.kinds[kindName]
 	if !ok {
-		return 0
+		return Position{}
 	}
-	return k.completeRevision
+	return k.complete
 }
 
 // Update holds the objects of one kind, or their changes after a revision.
@@ -93,21 +119,31 @@
 	Records []Record
 }
 
+// Position returns the position of a copy to which the update was applied.
+func (u Update) Position() Position { return Position{Era: u.Era, Revision: u.At} }
+
 // Apply adds an update to the copy and returns the records that changed. It returns
-// false when changes between the copy and the update are missing, or when the mirror
-// does not hold the kind. An older state of an object never replaces a newer one.
+// false when changes between the copy and the update are missing, as after a change of the
+// era unless the update is full, or when the mirror does not hold the kind. An older state
+// of an object never replaces a newer one of the same era, and nothing of a former era is
+// applied.
 func (m *Mirror) Apply(u Update) (changed []Record, ok bool) {
 	k, known := m.kinds[u.Kind]
-	if !known || !u.Full && u.Since > k.completeRevision {
+	if !known {
 		return nil, false
 	}
-	if u.Full && u.At < k.completeRevision {
+	switch isNewEra := u.Era > k.complete.Era; {
+	case u.Era < k.complete.Era, u.Full && u.Position().Before(k.complete):
 		return nil, true
+	case !u.Full && (isNewEra || u.Since > k.complete.Revision):
+		return nil, false
+	case isNewEra:
+		return k.replace(u), true
 	}
 	listed := make(map[string]bool, len(u.Records))
 	for _, r := range u.Records {
 		listed[r.Name] = true
-		if !u.Full && r.Revision <= k.completeRevision {
+		if !u.Full && r.Revision <= k.complete.Revision {
 			// The copy already includes this change, or the object was deleted since.
 			continue
 		}
@@ -118,11 +154,35 @@
 	if u.Full {
 		changed = append(changed, k.markUnlistedDeleted(u.Kind, listed, u.At)...)
 	}
-	k.completeRevision = max(k.completeRevision, u.At)
+	k.complete = LaterPosition(k.complete, u.Position())
 	k.dropOldDeletions()
 	return changed, true
 }
 
+// replace replaces all objects by those of a full update of a later era. Revisions were
+// given out again, so that two records are the same only if their bodies are, too. Objects
+// that are missing in the update count as deleted.
+func (k *kind) replace(u Update) (changed []Record) {
+	former := k.records
+	k.records, k.deletions = make(map[string]Record, len(u.Records)), 0
+	k.complete, k.droppedRevision = u.Position(), u.At
+	for _, r := range u.Records {
+		old, ok := former[r.Name]
+		if !ok || old.Deleted || old.Revision != r.Revision || !bytes.Equal(old.Body, r.Body) {
+			changed = append(changed, r)
+		}
+		k.records[r.Name] = r
+	}
+	var removed []Record
+	for name, old := range former {
+		if _, ok := k.records[name]; !ok && !old.Deleted {
+			removed = append(removed, Record{Kind: u.Kind, Name: name, Revision: u.At, Deleted: true})
+		}
+	}
+	slices.SortFunc(removed, func(a, b Record) int { return cmp.Compare(a.Name, b.Name) })
+	return append(changed, removed...)
+}
+
 // put stores a record unless the known one is as new. It reports whether the object
 // changed.
 func (k *kind) put(r Record) bool {
@@ -179,16 +239,20 @@
 	}
 }
 
-// UpdateSince returns the update for a copy that is complete up to a revision: the
-// later changes, or all objects when deletions since then may have been dropped.
-func (m *Mirror) UpdateSince(kindName string, after Revision) Update {
+// UpdateSince returns the update for a copy that is complete up to a position: the later
+// changes, or all objects when deletions since then may be missing or when the copy is of
+// another era.
+func (m *Mirror) UpdateSince(kindName string, after Position) Update {
 	k, ok := m.kinds[kindName]
 	if !ok {
 		return Update{Kind: kindName}
 	}
-	u := Update{Kind: kindName, Since: after, At: k.completeRevision, Full: after < k.droppedRevision || after == 0}
+	u := Update{
+		Kind: kindName, Era: k.complete.Era, Since: after.Revision, At: k.complete.Revision,
+		Full: after.Era != k.complete.Era || after.Revision < k.droppedRevision || after.Revision == 0,
+	}
 	for _, r := range k.records {
-		if u.Full && !r.Deleted || !u.Full && r.Revision > after {
+		if u.Full && !r.Deleted || !u.Full && r.Revision > after.Revision {
 			u.Records = append(u.Records, r)
 		}
 	}
--- a/wagmirror/wagmirror_test.go
+++ b/wagmirror/wagmirror_test.go
@@ -29,7 +29,7 @@
 	changed, ok := m.Apply(Update{Kind: testKind, Since: 4, At: 8, Records: []Record{record("a", 6, false), record("b", 7, false)}})
 	is.True(ok)
 	is.Equal(len(changed), 0) // the list at revision 10 lacks b, so b was deleted after 7
-	is.Equal(m.CompleteRevision(testKind), Revision(10))
+	is.Equal(m.Complete(testKind).Revision, Revision(10))
 	changed, ok = m.Apply(Update{Kind: testKind, Full: true, At: 5})
 	is.True(ok)
 	is.Equal(len(changed), 0) // an older list deletes nothing
@@ -46,7 +46,7 @@
 	is.True(!ok)
 	_, ok = m.Apply(Update{Kind: "unknown", Full: true, At: 4})
 	is.True(!ok)
-	is.Equal(m.CompleteRevision(testKind), Revision(0))
+	is.Equal(m.Complete(testKind).Revision, Revision(0))
 }
 
 // Guards against an object that remains although a full update lacks it, and against
@@ -79,7 +79,7 @@
 			r := record(name, revision, rapid.Bool().Draw(t, "deleted"))
 			original.Apply(Update{Kind: testKind, Since: revision - 1, At: revision, Records: []Record{r}})
 			target := copies[rapid.IntRange(0, 1).Draw(t, "copy")]
-			u := original.UpdateSince(testKind, target.CompleteRevision(testKind))
+			u := original.UpdateSince(testKind, target.Complete(testKind))
 			if rapid.Bool().Draw(t, "delayed") {
 				delayed = append(delayed, u)
 				continue
@@ -91,7 +91,7 @@
 			copies[1].Apply(u)
 		}
 		for _, c := range copies {
-			c.Apply(original.UpdateSince(testKind, c.CompleteRevision(testKind)))
+			c.Apply(original.UpdateSince(testKind, c.Complete(testKind)))
 			want, got := original.LiveRecords(testKind), c.LiveRecords(testKind)
 			if len(want) != len(got) {
 				t.Fatalf("copy has %d objects, original has %d", len(got), len(want))
@@ -111,7 +111,7 @@
 	is := is.New(t)
 	m, old := New(testKind), New(testKind)
 	m.Apply(Update{Kind: testKind, Full: true, At: 1, Records: []Record{record("first", 1, false)}})
-	old.Apply(m.UpdateSince(testKind, 0))
+	old.Apply(m.UpdateSince(testKind, Position{}))
 	revision := Revision(1)
 	for i := range 2 * maxDeletions {
 		name := fmt.Sprintf("s%d", i)
@@ -123,7 +123,7 @@
 		revision += 2
 	}
 	is.True(len(m.kinds[testKind].records) <= maxDeletions+1)
-	u := m.UpdateSince(testKind, old.CompleteRevision(testKind))
+	u := m.UpdateSince(testKind, old.Complete(testKind))
 	is.True(u.Full)
 	_, ok := old.Apply(u)
 	is.True(ok)
--- a/wagsync/confirmation.go
+++ b/wagsync/confirmation.go
@@ -8,15 +8,16 @@
 )
 
 // recordResponse records that a response of the store showed all changes of a kind up to
-// a revision, which was the store's at a time. It confirms the copies of all kinds that
-// lack no change of that revision.
-func (s *Sync) recordResponse(kind string, revision wagmirror.Revision, at time.Time) {
+// a position, which was the store's at a time. It confirms the copies of all kinds that
+// lack no change of that position. A response of a former era confirms nothing.
+func (s *Sync) recordResponse(kind string, position wagmirror.Position, at time.Time) {
 	s.mu.Lock()
 	f := s.kinds[kind]
-	f.coveredRevision = max(f.coveredRevision, revision)
+	f.covered = wagmirror.LaterPosition(f.covered, position)
 	f.answered = true
+	latest := wagmirror.LaterPosition(s.storePosition, position)
 	for name, k := range s.kinds {
-		if max(k.coveredRevision, s.mirror.CompleteRevision(name)) >= max(s.storeRevision, revision) {
+		if position.Era == s.knownEra() && !wagmirror.LaterPosition(k.covered, s.mirror.Complete(name)).Before(latest) {
 			k.confirmedAt = wagclock.Later(k.confirmedAt, at)
 		}
 	}
@@ -25,7 +26,7 @@
 	}
 	f.failures = 0
 	s.markConnected()
-	s.updateStoreRevision(revision)
+	s.updateStorePosition(position)
 	onConfirmed := s.onConfirmed
 	s.mu.Unlock()
 	onConfirmed()
--- a/wagsync/confirmation_test.go
+++ b/wagsync/confirmation_test.go
@@ -55,8 +55,8 @@
 			sleep(50 * time.Millisecond)
 			confirmed := x.sync.ConfirmedAt()
 			is.True(time.Since(confirmed) <= maxCalmAge)
-			complete := x.sync.CompleteRevisions()
-			if max(complete["config"], complete["servers"]) < latest {
+			complete := x.sync.Positions()
+			if max(complete["config"].Revision, complete["servers"].Revision) < latest {
 				is.True(time.Since(confirmed) >= 50*time.Millisecond)
 			}
 		}
--- a/wagsync/start.go
+++ b/wagsync/start.go
@@ -130,7 +130,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, kind := range s.mirror.Kinds() {
-		if s.mirror.CompleteRevision(kind) == 0 {
+		if s.mirror.Complete(kind).Revision == 0 {
 			kinds = append(kinds, kind)
 		}
 	}
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -48,8 +48,10 @@
 	maxRetryDelay   = time.Second
 )
 
-// Change holds the records that an update has changed.
+// Change holds the records of a kind that an update has changed. The first change of a
+// kind in an era follows a list; it may hold no records.
 type Change struct {
+	Kind    string
 	Records []wagmirror.Record
 	// From is the host that sent the update, or empty for the store.
 	From string
@@ -82,9 +84,8 @@
 	kinds map[string]*kindState
 	// primaryKind is the kind whose watches are always short.
 	primaryKind string
-	// storeRevision is the latest revision that the store reported, and storeEra its era.
-	storeRevision wagmirror.Revision
-	storeEra      wagmirror.Era
+	// storePosition is the latest position that the store reported to this host.
+	storePosition wagmirror.Position
 	// droppedLog limits the lines about dropped updates, and droppedUpdates counts them.
 	droppedLog     *rate.Limiter
 	droppedUpdates uint64
@@ -115,9 +116,9 @@
 	// began to follow it, or since a watch was cancelled. Until then requests do not wait
 	// for changes, so that they confirm the copy at once.
 	answered bool
-	// coveredRevision is the revision of the store up to which all changes of the kind are
-	// known from its own responses.
-	coveredRevision wagmirror.Revision
+	// covered is the position of the store up to which all changes of the kind are known
+	// from its own responses.
+	covered wagmirror.Position
 	// confirmedAt is the latest time at which the copy is proven to have been complete: a
 	// response of the store for any kind showed that it had no newer revision. A request
 	// in flight proves nothing.
@@ -126,8 +127,8 @@
 	failures int
 	// shortWatchesUntil is when the short watches end that follow a change of the store.
 	shortWatchesUntil time.Time
-	// shortWatchRevision is the storeRevision for which shortWatchesUntil was set.
-	shortWatchRevision wagmirror.Revision
+	// shortWatchesFor is the storePosition for which shortWatchesUntil was set.
+	shortWatchesFor wagmirror.Position
 	// cancelWatch ends a long watch that is in flight; nil when there is none.
 	cancelWatch context.CancelFunc
 }
@@ -174,7 +175,7 @@
 	s.followCtx, s.stopFollowing = context.WithCancel(ctx)
 	for kind, f := range s.kinds {
 		// A watch continues from the updates of other hosts.
-		f.canWatch, f.answered = s.mirror.CompleteRevision(kind) > 0, false
+		f.canWatch, f.answered = s.mirror.Complete(kind).Revision > 0, false
 	}
 	close(s.followingStarted)
 	s.followingStarted = make(chan struct{})
@@ -274,10 +275,13 @@
 func (s *Sync) recordFailure(kind string, f *kindState, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if errors.Is(err, wagstore.ErrGap) {
+	isOtherEra := errors.Is(err, errOtherEra)
+	if errors.Is(err, wagstore.ErrGap) || isOtherEra {
 		f.canWatch, f.failures = false, 0
 		s.markConnected()
-		s.log.WithField("kind", kind).Info("the store has dropped its history; all objects are listed again")
+		if !isOtherEra {
+			s.log.WithField("kind", kind).Info("the store has dropped its history; all objects are listed again")
+		}
 		return
 	}
 	f.failures++
@@ -292,7 +296,7 @@
 // listOrWatch makes one request to the store and applies the update.
 func (s *Sync) listOrWatch(ctx context.Context, kind string, f *kindState) error {
 	s.mu.Lock()
-	canWatch, after := f.canWatch, s.mirror.CompleteRevision(kind)
+	canWatch, after := f.canWatch, s.mirror.Complete(kind)
 	s.mu.Unlock()
 	if canWatch {
 		return s.watchOnce(ctx, kind, f, after)
@@ -313,9 +317,11 @@
 	if err != nil {
 		return err
 	}
-	s.recordEra(u)
-	s.apply(u, "store")
-	s.recordResponse(kind, u.At, began)
+	if s.isFormerEra(u.Era) {
+		return errFormerEra
+	}
+	s.apply(u)
+	s.recordResponse(kind, u.Position(), began)
 	return nil
 }
 
@@ -330,7 +336,7 @@
 
 // watchOnce makes one watch and applies the update. The first watch does not wait for
 // changes, nor does one after a failure, so that its success is known at once.
-func (s *Sync) watchOnce(ctx context.Context, kind string, f *kindState, after wagmirror.Revision) error {
+func (s *Sync) watchOnce(ctx context.Context, kind string, f *kindState, after wagmirror.Position) error {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.mu.Lock()
@@ -345,12 +351,12 @@
 		f.cancelWatch = cancel
 	}
 	s.mu.Unlock()
-	u, err := s.call(func() (wagmirror.Update, error) { return s.store.Watch(watchCtx, kind, after, deadline) })
+	u, err := s.call(func() (wagmirror.Update, error) { return s.store.Watch(watchCtx, kind, after.Revision, deadline) })
 	s.mu.Lock()
 	f.cancelWatch = nil
 	wasCanceled := err != nil && watchCtx.Err() != nil && ctx.Err() == nil
 	if wasCanceled {
-		// updateStoreRevision cancelled the watch. One that does not wait follows.
+		// updateStorePosition cancelled the watch. One that does not wait follows.
 		f.answered = false
 	}
 	s.mu.Unlock()
@@ -360,28 +366,34 @@
 	if err != nil {
 		return err
 	}
-	storeRevision, confirmed := u.At, s.clock.Now()
+	switch {
+	case s.isFormerEra(u.Era):
+		return errFormerEra
+	case u.Era != after.Era:
+		// The revision from which the watch began is one of another history.
+		return errOtherEra
+	}
+	position, confirmed := u.Position(), s.clock.Now()
 	if len(u.Records) == 0 {
 		// The store may have withheld changes, so that the next watch has to begin at
 		// the same revision again. A response that was delayed on its way proves no more
 		// than one that came in time.
-		u.At, confirmed = after, wagclock.Earlier(confirmed, deadline)
+		u.At, confirmed = after.Revision, wagclock.Earlier(confirmed, deadline)
 	}
-	s.recordEra(u)
-	s.apply(u, "store")
-	s.recordResponse(kind, storeRevision, confirmed)
+	s.apply(u)
+	s.recordResponse(kind, position, confirmed)
 	return nil
 }
 
-// updateStoreRevision records the revision of the store. Kinds whose copy is older are
+// updateStorePosition records the position of the store. Kinds whose copy is older are
 // watched with short watches for a while; s.mu is held.
-func (s *Sync) updateStoreRevision(revision wagmirror.Revision) {
-	s.storeRevision = max(s.storeRevision, revision)
+func (s *Sync) updateStorePosition(position wagmirror.Position) {
+	s.storePosition = wagmirror.LaterPosition(s.storePosition, position)
 	for kind, f := range s.kinds {
-		if f.shortWatchRevision >= s.storeRevision || s.mirror.CompleteRevision(kind) >= s.storeRevision {
+		if !f.shortWatchesFor.Before(s.storePosition) || !s.mirror.Complete(kind).Before(s.storePosition) {
 			continue
 		}
-		f.shortWatchRevision, f.shortWatchesUntil = s.storeRevision, s.clock.Now().Add(shortWatchDuration)
+		f.shortWatchesFor, f.shortWatchesUntil = s.storePosition, s.clock.Now().Add(shortWatchDuration)
 		if f.cancelWatch != nil {
 			f.cancelWatch()
 		}
@@ -390,31 +402,37 @@
 
 // Apply applies an update of another host. It returns false when changes before the
 // update are missing.
-func (s *Sync) Apply(u wagmirror.Update) bool { return s.apply(u, "host") }
+func (s *Sync) Apply(u wagmirror.Update) bool { return s.apply(u) }
 
 // apply applies an update from the store or another host.
-func (s *Sync) apply(u wagmirror.Update, source string) bool {
+func (s *Sync) apply(u wagmirror.Update) bool {
 	s.deliveryMu.Lock()
 	defer s.deliveryMu.Unlock()
 	s.mu.Lock()
-	known := s.mirror.CompleteRevision(u.Kind)
-	isFirst := known == 0
+	known := s.mirror.Complete(u.Kind)
 	records, ok := s.mirror.Apply(u)
+	complete := s.mirror.Complete(u.Kind)
 	switch {
 	case !ok:
 		s.recordDropped(u, known, "gap")
-	case u.Full && u.At < known:
+	case u.Era < known.Era:
+		s.recordDropped(u, known, "formerEra")
+	case u.Full && u.Position().Before(known):
 		s.recordDropped(u, known, "older")
+	case known.Revision > 0 && complete.Era > known.Era:
+		s.logEra(u, known)
 	}
-	if isFirst && s.mirror.CompleteRevision(u.Kind) > 0 {
+	if known.Revision == 0 && complete.Revision > 0 {
 		s.log.WithFields(logrus.Fields{
-			"kind": u.Kind, "from": source, "objects": len(records), "afterMs": s.clock.Now().Sub(s.startedAt).Milliseconds(),
+			"kind": u.Kind, "from": u.From, "objects": len(records), "afterMs": s.clock.Now().Sub(s.startedAt).Milliseconds(),
 		}).Info("this host has all objects of a kind")
 	}
 	s.mu.Unlock()
-	if len(records) > 0 {
+	// A change of the era is passed on even if it changes no object: what the handler
+	// keeps beside the objects may depend on it.
+	if len(records) > 0 || complete.Era > known.Era {
 		_ = wagpanic.Catch(s.log, func() error { // logs the error
-			s.onChange(Change{Records: records, From: u.From, Era: u.Era})
+			s.onChange(Change{Kind: u.Kind, Records: records, From: u.From, Era: complete.Era})
 			return nil
 		})
 	}
@@ -438,19 +456,19 @@
 // Kinds returns the kinds of objects, in alphabetical order.
 func (s *Sync) Kinds() []string { return s.mirror.Kinds() }
 
-// CompleteRevisions returns the revision up to which all changes of each kind are known.
-func (s *Sync) CompleteRevisions() map[string]wagmirror.Revision {
+// Positions returns the position up to which all changes of each kind are known.
+func (s *Sync) Positions() map[string]wagmirror.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	complete := make(map[string]wagmirror.Revision)
+	positions := make(map[string]wagmirror.Position)
 	for kind := range s.kinds {
-		complete[kind] = s.mirror.CompleteRevision(kind)
+		positions[kind] = s.mirror.Complete(kind)
 	}
-	return complete
+	return positions
 }
 
-// UpdateSince returns the update for a copy that is complete up to a revision.
-func (s *Sync) UpdateSince(kind string, after wagmirror.Revision) wagmirror.Update {
+// UpdateSince returns the update for a copy that is complete up to a position.
+func (s *Sync) UpdateSince(kind string, after wagmirror.Position) wagmirror.Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.mirror.UpdateSince(kind, after)
--- a/wagsync/wagsync_test.go
+++ b/wagsync/wagsync_test.go
@@ -22,6 +22,7 @@
 // watches and drop its history.
 type store struct {
 	mu       sync.Mutex
+	era      wagmirror.Era
 	revision wagmirror.Revision
 	records  map[string][]wagmirror.Record
 	// first is the oldest revision of which watches still have the change.
@@ -43,11 +44,13 @@
 	return &store{revision: 1, first: 2, records: make(map[string][]wagmirror.Record), changed: make(chan struct{})}
 }
 
-func (s *store) put(kind, name string) wagmirror.Revision {
+func (s *store) put(kind, name string) wagmirror.Revision { return s.putBody(kind, name, name) }
+
+func (s *store) putBody(kind, name, body string) wagmirror.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.records[kind] = append(s.records[kind], wagmirror.Record{Kind: kind, Name: name, Revision: s.revision, Body: []byte(name)})
+	s.records[kind] = append(s.records[kind], wagmirror.Record{Kind: kind, Name: name, Revision: s.revision, Body: []byte(body)})
 	s.wakeWatches()
 	return s.revision
 }
@@ -112,7 +115,7 @@
 	for _, r := range s.records[kind] {
 		latest[r.Name] = r
 	}
-	u := wagmirror.Update{Kind: kind, Full: true, At: s.revision}
+	u := wagmirror.Update{Kind: kind, Era: s.era, Full: true, At: s.revision}
 	for _, r := range latest {
 		u.Records = append(u.Records, r)
 	}
@@ -159,13 +162,13 @@
 }
 
 func (s *store) since(kind string, after wagmirror.Revision) (u wagmirror.Update, err error) {
-	u = wagmirror.Update{Kind: kind, Since: after, At: s.revision}
+	u = wagmirror.Update{Kind: kind, Era: s.era, Since: after, At: s.revision}
 	switch {
 	case s.down:
 		return u, errDown
 	case s.withholding:
 		return u, nil
-	case after+1 < s.first:
+	case after+1 < s.first, after > s.revision:
 		return u, wagstore.ErrGap
 	}
 	for _, r := range s.records[kind] {
