wagmirror: Pass on deletions that a list does not show

Callers could see: a host goes on using a server whose entry was removed, until the host restarts or its copy is listed again.

Cause: a list shows no object that was made and deleted between the copy and the list. The host that applied it passed on the changes after another host's revision without the deletion, although that host had the object from before. With eras, hosts list at different moments after each drill, so that this happens more often than at a start.

Fix: UpdateSince returns all objects to a copy whose revision lies in such a gap.

--- a/wagmirror/wagmirror.go
+++ b/wagmirror/wagmirror.go
@@ -66,6 +66,9 @@
 	// droppedRevision is the revision up to which deletions of the era may be missing in
 	// records.
 	droppedRevision Revision
+	// A full update shows no objects that were made and deleted between the copy and the
+	// update. Their deletions are missing for copies after gapFrom and before gapTo.
+	gapFrom, gapTo Revision
 	// deletions is the number of deletions in records.
 	deletions int
 }
@@ -140,6 +143,9 @@
 	case isNewEra:
 		return k.replace(u), true
 	}
+	if u.Full {
+		k.recordGap(u.At)
+	}
 	listed := make(map[string]bool, len(u.Records))
 	for _, r := range u.Records {
 		listed[r.Name] = true
@@ -159,6 +165,19 @@
 	return changed, true
 }
 
+// recordGap records that a full update at a revision is applied.
+func (k *kind) recordGap(at Revision) {
+	switch {
+	case k.complete.Revision == 0:
+		k.droppedRevision = at
+	case at <= k.complete.Revision:
+	case k.gapTo == 0:
+		k.gapFrom, k.gapTo = k.complete.Revision, at
+	default:
+		k.gapTo = at
+	}
+}
+
 // replace replaces all objects by those of a full update of a later era. Revisions were
 // given out again, so that two records are the same only if their bodies are, too. Objects
 // that are missing in the update count as deleted.
@@ -166,6 +185,7 @@
 	former := k.records
 	k.records, k.deletions = make(map[string]Record, len(u.Records)), 0
 	k.complete, k.droppedRevision = u.Position(), u.At
+	k.gapFrom, k.gapTo = 0, 0
 	for _, r := range u.Records {
 		old, ok := former[r.Name]
 		if !ok || old.Deleted || old.Revision != r.Revision || !bytes.Equal(old.Body, r.Body) {
@@ -249,7 +269,8 @@
 	}
 	u := Update{
 		Kind: kindName, Era: k.complete.Era, Since: after.Revision, At: k.complete.Revision,
-		Full: after.Era != k.complete.Era || after.Revision < k.droppedRevision || after.Revision == 0,
+		Full: after.Era != k.complete.Era || after.Revision < k.droppedRevision || after.Revision == 0 ||
+			after.Revision > k.gapFrom && after.Revision < k.gapTo,
 	}
 	for _, r := range k.records {
 		if u.Full && !r.Deleted || !u.Full && r.Revision > after.Revision {
