waggateway: Close connections only when the response has been acknowledged

Cause: the connection was closed when the response lay in the send buffer. A close with unread bytes resets the connection, and the kernel drops what was not sent yet.

Fix: a close in stages (RFC 9112, section 9.6): the sending side first, the rest when the caller has acknowledged everything, with bounds in time, bytes and connections.

Evidence, red on: TestResponseBeforeCloseIsComplete, 84 of 120 forms ("connection reset by peer"), and TestRequestsBehindBodyDuringPlannedStop. Why it works: a reset can only drop bytes that were not acknowledged, and there are none.

Test changed: TestPlannedStopOfPipeline wanted a request that was read during the stop to stay without a response. It now wants that answer, and the close behind it.

--- a/waggateway/callers.go
+++ b/waggateway/callers.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wagtailspar/wagtailspar/wagbudget"
@@ -47,6 +48,9 @@
 	budget  *wagbudget.Budget
 	limits  Limits
 
+	// lingering counts the connections that wait for acknowledgements before they close.
+	lingering atomic.Int64
+
 	mu     sync.Mutex
 	conns  map[wagbudget.ConnID]*callerConn
 	lastID wagbudget.ConnID
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,6 +41,11 @@
 	// ctx ends with the connection.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// forced ends when the connection is closed without waiting any longer.
+	forced context.Context
+	force  context.CancelFunc
+	// hasWritten is set when something was written.
+	hasWritten atomic.Bool
 	// tasks runs the executions and readAhead.
 	tasks errgroup.Group
 
@@ -68,6 +74,9 @@
 	// readDeadline is the deadline of reads; zero for none.
 	readDeadline time.Time
 	closed       bool
+	// refused is set after refuse, which has read for a while already.
+	refused  bool
+	boundary boundary
 	usage
 }
 
@@ -104,6 +113,7 @@
 	c := &callerConn{Conn: raw, gateway: g, tracking: true, ahead: make(map[int]*execution)}
 	c.changed = sync.NewCond(&c.mu)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.forced, c.force = context.WithCancel(context.Background())
 	return c
 }
 
@@ -136,6 +146,9 @@
 		return n, err
 	}
 	c.progress.Add(1)
+	c.mu.Lock()
+	c.boundary.add(p[:n])
+	c.mu.Unlock()
 	if cause := c.countHead(p[:n]); cause != "" {
 		c.gateway.observer.CallerRefused(cause)
 		c.refuse(cause, p)
@@ -225,6 +238,9 @@
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return nil // linger sets its own
+	}
 	if errors.Is(c.readErr, os.ErrDeadlineExceeded) {
 		c.readErr = nil
 	}
@@ -251,13 +267,19 @@
 	return nil
 }
 
-// Close closes the connection and cancels its requests.
+// Close cancels the requests of the connection and closes it when the caller has
+// acknowledged what was written, or at once if it is called a second time.
 func (c *callerConn) Close() error {
 	c.cancel()
 	c.mu.Lock()
+	lingers := !c.closed && c.beginLinger()
 	c.closed = true
 	c.changed.Broadcast()
 	c.mu.Unlock()
+	if lingers {
+		c.linger()
+	}
+	c.force()
 	err := c.Conn.Close()
 	if c.gateway != nil {
 		c.gateway.callers.remove(c)
@@ -374,6 +396,7 @@
 	defer c.mu.Unlock()
 	c.begun++
 	c.handling = true
+	c.boundary.bodyLength = r.ContentLength
 	c.endHead()
 	x := c.ahead[c.begun]
 	delete(c.ahead, c.begun)
@@ -421,11 +444,3 @@
 	c.handling = false
 	c.activity = finishing
 }
-
-// hasAhead reports whether requests run ahead that a close after the current response
-// would leave without one.
-func (c *callerConn) hasAhead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.ahead) > 0
-}
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -136,7 +136,7 @@
 	defer x.release()
 	x.await()
 	g.observer.RequestEnded(g.requestResult(r, x))
-	closing := r.Close || x.incoming.Close || g.shuttingDown.Load() && (conn == nil || !conn.hasAhead())
+	closing := r.Close || x.incoming.Close || g.shuttingDown.Load() && (conn == nil || !conn.hasFurther())
 	if conn != nil && (x.response.upstream == nil || x.response.upstream.BodyRest == nil) {
 		conn.setActivity(finishing)
 	}
--- a/waggateway/serve.go
+++ b/waggateway/serve.go
@@ -85,6 +85,7 @@
 	if ctx.Err() != nil {
 		g.shutDown(l, conns, options)
 	}
+	g.ending.Store(true)
 	_ = server.Close() // closes the connections that remain
 	return group.Wait()
 }
--- a/waggateway/stalled.go
+++ b/waggateway/stalled.go
@@ -1,11 +1,6 @@
 package waggateway
 
-import (
-	"syscall"
-	"time"
-
-	"golang.org/x/sys/unix"
-)
+import "time"
 
 // progressMark is what has to change on a connection within a timeout.
 type progressMark struct {
@@ -48,7 +43,7 @@
 func (c *callerConn) endStalled(now, headBefore, idleBefore time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.activity == receiving && c.counter.bytes == 0 {
+	if c.closed || c.activity == receiving && c.counter.bytes == 0 {
 		c.markedAt = time.Time{}
 		return // connTracker closes unused connections
 	}
@@ -57,7 +52,7 @@
 		m.progress = c.progress.Load()
 	}
 	if m.writing {
-		m.unacknowledged = c.unacknowledgedBytes()
+		m.unacknowledged, _ = c.unacknowledgedBytes()
 	}
 	if m != c.mark || c.markedAt.IsZero() {
 		c.mark, c.markedAt = m, now
@@ -86,24 +81,3 @@
 	}
 	_ = c.setReadDeadline(pastDeadline) // fails only on a closed connection
 }
-
-// unacknowledgedBytes returns how many written bytes the caller has not acknowledged, or 0
-// if that is not known. The kernel lets a blocked write go on only after a third of its
-// buffer, which may be megabytes, has been acknowledged, so that writes alone do not show
-// the progress of a slow caller.
-func (c *callerConn) unacknowledgedBytes() (n int) {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	var ioctlErr error
-	err = raw.Control(func(fd uintptr) { n, ioctlErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
-	if err != nil || ioctlErr != nil {
-		return 0
-	}
-	return n
-}
--- a/waggateway/usage.go
+++ b/waggateway/usage.go
@@ -1,6 +1,7 @@
 package waggateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -90,6 +91,10 @@
 		return ""
 	}
 	if c.counter.bytes == 0 {
+		// Line ends before a request belong to none (RFC 9112, section 2.2).
+		if p = bytes.TrimLeft(p, "\r\n"); len(p) == 0 {
+			return ""
+		}
 		c.gateway.callers.budget.SetPhase(c.id, wagbudget.Receiving)
 	}
 	cost := c.counter.add(p)
@@ -143,6 +148,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.activity, c.counter, c.expired = receiving, headCounter{}, ""
+	c.boundary.endRequest()
 	c.release(c.headCost)
 	c.headCost = 0
 	if !c.isNextAhead() { // otherwise the connection stays Busy
@@ -235,6 +241,9 @@
 	if _, err := io.WriteString(c.Conn, text); err != nil {
 		return
 	}
+	c.mu.Lock()
+	c.refused = true
+	c.mu.Unlock()
 	_ = c.CloseWrite()
 	for n := 0; n < refusalReadBytes; {
 		m, err := c.Conn.Read(scratch)
@@ -247,6 +256,7 @@
 
 // Write writes to the connection.
 func (c *callerConn) Write(p []byte) (n int, err error) {
+	c.hasWritten.Store(true)
 	c.writing.Store(true)
 	defer c.writing.Store(false)
 	for {
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -84,6 +84,8 @@
 	// configWaitUntil is until when requests wait for the first configuration.
 	configWaitUntil time.Time
 	shuttingDown    atomic.Bool
+	// ending is set when the connections that remain are closed at once.
+	ending atomic.Bool
 	// shutdown holds the times of the graceful shutdown; nil before it.
 	shutdown atomic.Pointer[shutdownTimes]
 	// inFlight holds the requests that a graceful shutdown may have to end.
