waggateway: Reset the connection behind a cut response without a length

Callers of HTTP/1.0 could take a part of a body for a complete one: a response that breaks off midway ends with the connection, which ends a body without a length.

The connection is reset instead. Evidence: TestCutResponseIsNoCompleteOne is red without the change of response.go ("not true: err != nil"), and passes with it.

--- a/waggateway/linger.go
+++ b/waggateway/linger.go
@@ -134,7 +134,7 @@
 // beginLinger reports whether a connection that is being closed has to wait because a part
 // of what was written may still be lost; c.mu is held.
 func (c *callerConn) beginLinger() bool {
-	if c.gateway == nil || c.gateway.ending.Load() || c.evicted.Load() || c.refused || !c.hasWritten.Load() || errors.Is(c.readErr, io.EOF) {
+	if c.gateway == nil || c.gateway.ending.Load() || c.evicted.Load() || c.noLinger || !c.hasWritten.Load() || errors.Is(c.readErr, io.EOF) {
 		return false
 	}
 	if n, ok := c.unacknowledgedBytes(); ok && n == 0 {
@@ -212,3 +212,14 @@
 		c.changed.Wait()
 	}
 }
+
+// resetOnClose makes the close of the connection reset it. A caller of HTTP/1.0 takes the
+// end of a connection for that of a response without a length.
+func (c *callerConn) resetOnClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noLinger = true
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0) // fails only on a closed connection
+	}
+}
--- a/waggateway/linger_test.go
+++ b/waggateway/linger_test.go
@@ -129,6 +129,25 @@
 	}
 }
 
+// Guards against a part of a response that a caller of HTTP/1.0 takes for a complete one,
+// because only the end of the connection ends the body.
+func TestCutResponseIsNoCompleteOne(t *testing.T) {
+	is := is.New(t)
+	a := newTestServer(t, "a", "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n"+strings.Repeat("a", 1<<20)+"\r\n20\r\ncut")
+	a.hold = make(chan struct{}) // makes the server close the connection
+	close(a.hold)
+	f := newFixture(t, a)
+	conn := f.dialSmall(t, 64<<10)
+	_, err := io.WriteString(conn, requestText(http.MethodGet, "HTTP/1.0", "/status/1", "r1", ""))
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(resp.ContentLength, int64(-1))
+	_, err = io.ReadAll(resp.Body)
+	is.True(err != nil) // reset
+}
+
 // Guards against connections whose callers neither read nor close and which hold up a
 // planned stop or the requests of others, and against more of them than may wait.
 func TestLingeringIsBounded(t *testing.T) {
--- a/waggateway/readahead.go
+++ b/waggateway/readahead.go
@@ -74,8 +74,9 @@
 	// readDeadline is the deadline of reads; zero for none.
 	readDeadline time.Time
 	closed       bool
-	// refused is set after refuse, which has read for a while already.
-	refused  bool
+	// noLinger is set if a close must not wait: after refuse, which has read for a while
+	// already, or because it has to reset the connection.
+	noLinger bool
 	boundary boundary
 	usage
 }
--- a/waggateway/response.go
+++ b/waggateway/response.go
@@ -80,6 +80,9 @@
 	if _, err := io.Copy(w, resp.upstream.BodyRest); err != nil {
 		// Aborts the connection, so that the caller does not take a truncated response
 		// for a complete one.
+		if conn := callerConnOf(r); conn != nil && resp.upstream.ContentLength < 0 && !r.ProtoAtLeast(1, 1) {
+			conn.resetOnClose()
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/waggateway/usage.go
+++ b/waggateway/usage.go
@@ -242,7 +242,7 @@
 		return
 	}
 	c.mu.Lock()
-	c.refused = true
+	c.noLinger = true
 	c.mu.Unlock()
 	_ = c.CloseWrite()
 	for n := 0; n < refusalReadBytes; {
