wagclock, wagsync, wagmesh, wagowner: Know that nothing is fresh after a gap

Cause: an owner granted by a list of any age after it stood still, and could take an old one for fresh: the age in a heartbeat counted from when it was handled, although it may have waited in a socket; the answer of a watch counted from when it was read; and the steady clock of a suspended machine does not count the time.

Fix: wagclock.Gaps notices a gap before ticks, frames, responses and requests are acted on. After one, confirmations are as old as they are, responses that may have waited confirm nothing, and watches begin anew. Heartbeats carry a stamp and the latest stamp of the receiver, which bounds when they were sent.

--- a/waghost/restore.go
+++ b/waghost/restore.go
@@ -24,8 +24,9 @@
 	// departureMemory is how long the removal of an entry is remembered at least, which has
 	// to be longer than copies of the store are old.
 	departureMemory = 2 * time.Minute
-	// maxDepartures bounds the removed entries that are remembered.
-	maxDepartures = 4096
+	// minDepartures and maxDepartures bound the removed entries that are remembered. Below
+	// the first, they are remembered for longer than departureMemory.
+	minDepartures, maxDepartures = 64, 4096
 )
 
 // restoration holds what a host knows beside a store that has come back from a copy of
@@ -96,7 +97,7 @@
 
 // recordDeparture records that the entry of a server was removed.
 func (x *restoration) recordDeparture(name string, instance wagserver.Instance, now time.Time) {
-	if len(x.departures) >= maxDepartures {
+	if len(x.departures) >= minDepartures {
 		for known, d := range x.departures {
 			if now.Sub(d.at) > departureMemory || len(x.departures) >= maxDepartures {
 				delete(x.departures, known)
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -134,19 +134,22 @@
 	for _, o := range opts {
 		o(s)
 	}
+	freshness := wagroster.NewFreshness(settings.ApplyTimeout)
+	gaps := wagclock.NewGaps(s.clock, freshness.ApplyTimeout/4)
 	obs := observer{host: settings.Name, log: s.log, metrics: s.metrics, shortages: newShortages(), now: s.clock.Now, copyState: s.copyState}
 	s.observer = obs
 	limits := waglimits.Derive(settings.MemoryBytes, settings.MaxFileDescriptors)
 	s.upstream = wagupstream.NewPool(decoder.RequestIDHeader(), wagupstream.WithMaxConnections(limits.ServerConnections), wagupstream.WithLog(s.log.Logger()))
 	s.owner = wagowner.New(settings.DataCentre, &prober{host: s, protocol: protocol}, wagowner.WithClock(s.clock), wagowner.WithObserver(obs), wagowner.WithLog(s.log.Logger()),
 		wagowner.WithLimits(settings.Limits))
-	s.sync = wagsync.New(store, s.applyChange, decoder.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()), wagsync.WithFirstStart(settings.FirstStart))
+	s.sync = wagsync.New(store, s.applyChange, decoder.Kinds(), wagsync.WithClock(s.clock), wagsync.WithLog(s.log.Logger()), wagsync.WithFirstStart(settings.FirstStart),
+		wagsync.WithGaps(gaps))
 	self := wagroster.Member{
 		Name: settings.Name, DataCentre: settings.DataCentre, Generation: uint64(s.clock.Now().UnixMilli()), Address: settings.PeerAddress,
 		MilliCores: settings.MilliCores,
 	}
 	s.mesh = wagmesh.New(self, s.sync, s.owner, wagmesh.WithClock(s.clock), wagmesh.WithLog(s.log.Logger()),
-		wagmesh.WithFreshness(wagroster.NewFreshness(settings.ApplyTimeout)),
+		wagmesh.WithFreshness(freshness), wagmesh.WithGaps(gaps),
 		wagmesh.WithSeeds(func() []netip.AddrPort { return *s.seeds.Load() }))
 	s.seeds.Store(&settings.Seeds)
 	s.owner.SetRemotePlaceFunc(s.mesh.PlaceRemote)
--- a/wagmesh/fixture_test.go
+++ b/wagmesh/fixture_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wagtailspar/wagtailspar/wagclock"
 	"github.com/wagtailspar/wagtailspar/wagmirror"
 	"github.com/wagtailspar/wagtailspar/wagowner"
 	"github.com/wagtailspar/wagtailspar/wagplacement"
@@ -251,6 +252,8 @@
 	isFirstStart bool
 	// seeds holds the addresses that hosts which start now dial first.
 	seeds []netip.AddrPort
+	// gaps returns what notices the gaps of a host that starts; nil for nothing.
+	gaps func(m wagroster.Member) *wagclock.Gaps
 	// ownerOptions are the options of the owners of hosts that start now.
 	ownerOptions []wagowner.Option
 	// furtherKind returns the kind that a host which starts follows beside testKind, or an
@@ -310,13 +313,17 @@
 	h.owner = wagowner.New(m.DataCentre, h, append([]wagowner.Option{wagowner.WithLimits(wagowner.Limits{Quota: quota})}, s.ownerOptions...)...)
 	h.owner.SetServers(testServers())
 	changed, seeds := make(chan struct{}, 1), s.seeds
+	var gaps *wagclock.Gaps
+	if s.gaps != nil {
+		gaps = s.gaps(m)
+	}
 	h.sync = wagsync.New(hostStore{s.store, m.Name}, func(wagsync.Change) {
 		select {
 		case changed <- struct{}{}:
 		default:
 		}
-	}, s.kinds(m), wagsync.WithLog(log), wagsync.WithFirstStart(s.isFirstStart))
-	h.mesh = New(m, h.sync, h.owner, WithLog(log),
+	}, s.kinds(m), wagsync.WithLog(log), wagsync.WithFirstStart(s.isFirstStart), wagsync.WithGaps(gaps))
+	h.mesh = New(m, h.sync, h.owner, WithLog(log), WithGaps(gaps),
 		WithSeeds(func() []netip.AddrPort { return seeds }),
 		WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 			return s.network.dial(ctx, m.Address.Addr(), to)
--- a/wagmesh/freshness.go
+++ b/wagmesh/freshness.go
@@ -58,6 +58,7 @@
 	m.mu.Unlock()
 	if m.sync.RecordPeerConfirmation(at) {
 		m.pushConfirmation()
+		m.endHold()
 	}
 }
 
--- a/wagmesh/heartbeat.go
+++ b/wagmesh/heartbeat.go
@@ -14,6 +14,7 @@
 // copy is as complete.
 func (l *link) handleHeartbeat(now time.Time, b *Beat) {
 	l.mu.Lock()
+	l.peerStamp = max(l.peerStamp, b.GetStamp())
 	for _, c := range b.GetComplete() {
 		l.peerPositions[c.GetKind()] = positionFromMessage(c)
 	}
@@ -27,10 +28,16 @@
 	if subscribed && l.inSameDataCentre() {
 		l.mesh.recordStoreReport(now, b.GetStoreMayBeDown())
 	}
-	if b.ConfirmedAge == nil || !l.exchangesUpdates() {
+	if b.GetWantsEcho() {
+		l.mesh.mu.Lock()
+		l.sendHeartbeat(now)
+		l.mesh.mu.Unlock()
+	}
+	sentAt, isProven := l.mesh.latestSendTime(now, b)
+	if b.ConfirmedAge == nil || !l.exchangesUpdates() || !isProven {
 		return
 	}
-	confirmed := now.Add(-milliseconds(int64(b.GetConfirmedAge())))
+	confirmed := sentAt.Add(-milliseconds(int64(b.GetConfirmedAge())))
 	l.mu.Lock()
 	l.peerConfirmedAt = wagclock.Later(l.peerConfirmedAt, confirmed)
 	l.mu.Unlock()
@@ -120,10 +127,11 @@
 // is held.
 func (l *link) sendHeartbeat(now time.Time) {
 	s := l.mesh.sync
-	b := &Beat{Disconnected: s.IsDisconnected(), StoreMayBeDown: l.inSameDataCentre() && l.mesh.storeMayBeDown}
+	b := &Beat{Disconnected: s.IsDisconnected(), StoreMayBeDown: l.inSameDataCentre() && l.mesh.storeMayBeDown, Stamp: l.mesh.stamp(now)}
 	at := l.mesh.confirmationFor(l)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	b.Echo, b.WantsEcho, l.echoNeeded = l.peerStamp, l.echoNeeded, false
 	if l.subscribed || l.peerSubscribed {
 		b.Complete = l.mesh.completeMessages()
 		if !at.IsZero() {
--- a/wagmesh/link.go
+++ b/wagmesh/link.go
@@ -76,6 +76,10 @@
 	// peerConfirmedAt is when the peer's copy was last confirmed, as far as it said or was
 	// told so on the link.
 	peerConfirmedAt time.Time
+	// peerStamp is the latest stamp that was received from the peer, and echoNeeded is set
+	// until a heartbeat was sent that wants its echo.
+	peerStamp  uint64
+	echoNeeded bool
 	// sentRequests holds the requests that the peer has not decided on yet, by ID.
 	sentRequests map[uint64]*sentRequest
 	// lastRequestID is the ID of the latest request that was sent.
@@ -98,7 +102,7 @@
 func (m *Mesh) newLink(cancel context.CancelCauseFunc) *link {
 	now := m.clock.Now()
 	return &link{
-		mesh: m, cancel: cancel, greeted: make(chan struct{}), ready: make(chan struct{}, 1), lastReceived: now, nextHeartbeat: now, lastPlaced: now,
+		mesh: m, cancel: cancel, echoNeeded: true, greeted: make(chan struct{}), ready: make(chan struct{}, 1), lastReceived: now, nextHeartbeat: now, lastPlaced: now,
 		peerPositions: make(map[string]wagmirror.Position), sentRequests: make(map[uint64]*sentRequest),
 		waitingTickets: make(map[uint64]wagowner.Ticket), grantFinishers: make(map[uint64]func(wagplacement.Result)),
 	}
@@ -289,6 +293,7 @@
 // handleFrame handles the messages of a frame.
 func (l *link) handleFrame(f *Frame) {
 	m := l.mesh
+	m.gaps.Observe()
 	now := m.clock.Now()
 	l.mu.Lock()
 	l.lastReceived, l.stalled = now, false
--- a/wagmesh/place.go
+++ b/wagmesh/place.go
@@ -58,6 +58,7 @@
 // until one is free if necessary. This host decides itself while the owner is
 // unreachable or does not acknowledge requests.
 func (m *Mesh) Place(ctx context.Context, service string, r wagplacement.Request) wagowner.Outcome {
+	m.gaps.Observe()
 	now := m.clock.Now()
 	// Another host may serve a request that has half of its time left.
 	startupUntil := wagclock.Earlier(m.startedAt.Add(startupPlaceTimeout), now.Add(r.Deadline.Sub(now)/2))
--- a/wagmesh/wagmesh.go
+++ b/wagmesh/wagmesh.go
@@ -71,6 +71,8 @@
 // Mesh manages the links of a host to other hosts. It is safe for concurrent use.
 type Mesh struct {
 	clock wagclock.Clock
+	// gaps notices when this host stood still; nil if it does not matter.
+	gaps  *wagclock.Gaps
 	log   logrus.FieldLogger
 	sync  *wagsync.Sync
 	owner *wagowner.Owner
@@ -116,8 +118,6 @@
 	// services are the services to whose owners this host keeps a link.
 	services  []string
 	startedAt time.Time
-	// lastTick is when tick was last called.
-	lastTick time.Time
 	// quotaCoordinators holds the selected quota coordinators, by shard.
 	quotaCoordinators map[int]quotaCoordinator
 	// inboundLinks counts the open links that other hosts opened, and unknownConns the
@@ -169,6 +169,9 @@
 		option(m)
 	}
 	m.startedAt = m.clock.Now()
+	if m.gaps != nil {
+		m.gaps.OnGap(m.handleGap)
+	}
 	return m
 }
 
@@ -190,7 +193,10 @@
 	server := drpcserver.NewWithOptions(wagpanic.RPCHandler(m.log, mux), drpcserver.Options{Manager: managerOptions()})
 	m.group, m.ctx = errgroup.WithContext(ctx)
 	m.sync.SetExpectation(m.expectation)
-	m.sync.SetConfirmationHandler(m.pushConfirmation)
+	m.sync.SetConfirmationHandler(func() {
+		m.pushConfirmation()
+		m.endHold()
+	})
 	m.group.Go(func() error {
 		err := server.Serve(m.ctx, peerListener{l, m})
 		if ctx.Err() != nil || m.ctx.Err() != nil {
@@ -244,12 +250,9 @@
 // tick checks the roles of this host, its links, and whether it has to follow the
 // store. It returns when the next tick is due.
 func (m *Mesh) tick() time.Time {
+	m.gaps.Observe()
 	now := m.clock.Now()
 	m.mu.Lock()
-	if gap := now.Sub(m.lastTick); !m.lastTick.IsZero() && gap > silenceTimeout {
-		m.log.WithFields(logrus.Fields{"gapMs": gap.Milliseconds(), "copyAgeMs": m.copyAge(now).Milliseconds()}).Warning("this host did not run for a while")
-	}
-	m.lastTick = now
 	upstream, hasUpstream := m.roster.Upstream(now)
 	self := m.roster.Self()
 	m.updateUpstream(now, upstream, hasUpstream)
--- a/wagowner/startup.go
+++ b/wagowner/startup.go
@@ -15,16 +15,45 @@
 // list of servers. Other hosts send it, or the store in several pages.
 const serversWaitTimeout = time.Second
 
-// heldRequest is a request that arrived before the first list of servers.
+// heldRequest is a request that waits for a list of servers, the first one or a current one.
 type heldRequest struct {
 	group   *group
 	request wagplacement.Request
 	until   time.Time
 }
 
-// finishStartup submits the held requests. The caller must hold o.mu.
+// Hold makes requests wait until a time, or until EndHold, because the list of servers may
+// be out of date. Each waits for half of its time at most.
+func (o *Owner) Hold(until time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.holdUntil = until
+}
+
+// EndHold submits the requests that wait because of Hold.
+func (o *Owner) EndHold() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.holdUntil.IsZero() {
+		return
+	}
+	o.holdUntil = time.Time{}
+	if o.startupDone {
+		o.submitAllHeld(o.clock.Now())
+	}
+}
+
+// finishStartup submits the held requests, unless Hold is in force. The caller must hold
+// o.mu.
 func (o *Owner) finishStartup(now time.Time) {
 	o.startupDone = true
+	if !now.Before(o.holdUntil) {
+		o.submitAllHeld(now)
+	}
+}
+
+// submitAllHeld submits the held requests. The caller must hold o.mu.
+func (o *Owner) submitAllHeld(now time.Time) {
 	for _, e := range o.heldRequests {
 		o.submitHeld(now, e)
 	}
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -81,6 +81,9 @@
 	heldRequests    []heldRequest
 	startupDeadline time.Time
 	startupDone     bool
+	// holdUntil is until when requests are held because the list of servers may be out of
+	// date.
+	holdUntil time.Time
 	// evacuating is set while some data centre is evacuated.
 	evacuating bool
 	// wake is signalled when a scheduler is due before plannedWake, which is zero if none
@@ -263,8 +266,12 @@
 // submitAdmitted submits a request that is within the quota of its customer. The caller
 // must hold o.mu.
 func (o *Owner) submitAdmitted(now time.Time, g *group, r wagplacement.Request) {
-	if !o.startupDone && !r.Foreign && now.Before(o.startupDeadline) {
-		until := wagclock.Earlier(o.startupDeadline, now.Add(r.Deadline.Sub(now)/2))
+	holdUntil := o.holdUntil
+	if !o.startupDone {
+		holdUntil = wagclock.Later(holdUntil, o.startupDeadline)
+	}
+	if !r.Foreign && now.Before(holdUntil) {
+		until := wagclock.Earlier(holdUntil, now.Add(r.Deadline.Sub(now)/2))
 		o.heldRequests = append(o.heldRequests, heldRequest{group: g, request: r, until: until})
 		o.scheduleWake(until)
 		return
--- a/wagowner/wagowner_test.go
+++ b/wagowner/wagowner_test.go
@@ -222,3 +222,41 @@
 		})
 	}
 }
+
+// Guards against a host that stood still and grants servers by its list from before, and
+// against requests that wait for a newer list without a bound (review/13).
+func TestRequestsAreHeldWhileListIsOld(t *testing.T) {
+	for name, end := range map[string]func(o *Owner){
+		"confirmed": func(o *Owner) {
+			o.SetServers(servers(map[string]int{"a": 2})[1:])
+			o.EndHold()
+		},
+		"time passes": func(*Owner) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runOwner(t, &prober{}, func(is *is.I, o *Owner) {
+				o.SetServers(servers(map[string]int{"a": 1}))
+				o.EndHold() // without Hold, nothing happens
+				began := time.Now()
+				o.Hold(began.Add(300 * time.Millisecond))
+				done := make(chan Outcome, 1)
+				o.tasks.Go(func() error {
+					done <- o.Place(context.Background(), "lots", request())
+					return nil
+				})
+				time.Sleep(100 * time.Millisecond) //nolint:forbidigo // The time of a bubble passes at once.
+				is.Equal(len(done), 0)
+				end(o)
+				granted, ok := (<-done).(Granted)
+				is.True(ok)
+				if name == "confirmed" {
+					is.Equal(granted.Server.ID, "a1")
+					is.Equal(time.Since(began), 100*time.Millisecond)
+				} else {
+					is.Equal(granted.Server.ID, "a0")
+					is.Equal(time.Since(began), 300*time.Millisecond)
+				}
+			})
+		})
+	}
+}
--- a/wagsync/confirmation.go
+++ b/wagsync/confirmation.go
@@ -89,3 +89,35 @@
 	}
 	return earliest
 }
+
+// provenAt returns the time for which the response to a request proves the state of the
+// store, which would be at: none, the zero time, if this host stood still since the request
+// began. The response may have waited meanwhile.
+func (s *Sync) provenAt(began, at time.Time) time.Time {
+	if s.gaps.EndedSince(began) {
+		return time.Time{}
+	}
+	return at
+}
+
+// handleGap makes the copy as old as it is after a gap that the clock did not count, and
+// begins the watches anew, whose responses prove nothing.
+func (s *Sync) handleGap(g wagclock.Gap) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.kinds {
+		k.confirmedAt = earlierBy(k.confirmedAt, g.Uncounted)
+		if k.interrupt != nil {
+			k.interrupt()
+		}
+	}
+	s.peerConfirmed = earlierBy(s.peerConfirmed, g.Uncounted)
+}
+
+// earlierBy returns an earlier time; the zero time stays as it is.
+func earlierBy(t time.Time, d time.Duration) time.Time {
+	if t.IsZero() {
+		return t
+	}
+	return t.Add(-d)
+}
--- a/wagsync/wagsync.go
+++ b/wagsync/wagsync.go
@@ -63,8 +63,10 @@
 
 // Sync keeps a copy of the store's objects up to date. It is safe for concurrent use.
 type Sync struct {
-	store    wagmirror.Store
-	clock    wagclock.Clock
+	store wagmirror.Store
+	clock wagclock.Clock
+	// gaps notices when this host stood still; nil if it does not matter.
+	gaps     *wagclock.Gaps
 	log      logrus.FieldLogger
 	onChange ChangeHandler
 	// followingStarted is closed and replaced when this host starts to follow.
@@ -129,8 +131,9 @@
 	shortWatchesUntil time.Time
 	// shortWatchesFor is the storePosition for which shortWatchesUntil was set.
 	shortWatchesFor wagmirror.Position
-	// cancelWatch ends a long watch that is in flight; nil when there is none.
-	cancelWatch context.CancelFunc
+	// cancelWatch ends a long watch that is in flight; nil when there is none. interrupt ends
+	// any watch.
+	cancelWatch, interrupt context.CancelFunc
 }
 
 // Option sets a property of a Sync.
@@ -139,6 +142,10 @@
 // WithClock replaces the clock.
 func WithClock(c wagclock.Clock) Option { return func(s *Sync) { s.clock = c } }
 
+// WithGaps sets what notices that this host stood still. What it knew before is then as
+// old as the gap is long, and a response that arrived meanwhile confirms nothing.
+func WithGaps(g *wagclock.Gaps) Option { return func(s *Sync) { s.gaps = g } }
+
 // WithLog replaces the standard logger.
 func WithLog(l logrus.FieldLogger) Option { return func(s *Sync) { s.log = l } }
 
@@ -156,6 +163,9 @@
 	for _, o := range opts {
 		o(s)
 	}
+	if s.gaps != nil {
+		s.gaps.OnGap(s.handleGap)
+	}
 	return s
 }
 
@@ -321,7 +331,7 @@
 		return errFormerEra
 	}
 	s.apply(u)
-	s.recordResponse(kind, u.Position(), began)
+	s.recordResponse(kind, u.Position(), s.provenAt(began, began))
 	return nil
 }
 
@@ -331,6 +341,7 @@
 		u, err = request()
 		return err
 	})
+	s.gaps.Observe()
 	return u, err
 }
 
@@ -341,7 +352,8 @@
 	defer cancel()
 	s.mu.Lock()
 	now := s.clock.Now()
-	deadline := now.Add(longWatchTimeout)
+	began, deadline := now, now.Add(longWatchTimeout)
+	f.interrupt = cancel
 	switch {
 	case f.failures > 0 || !f.answered:
 		deadline = now
@@ -353,10 +365,10 @@
 	s.mu.Unlock()
 	u, err := s.call(func() (wagmirror.Update, error) { return s.store.Watch(watchCtx, kind, after.Revision, deadline) })
 	s.mu.Lock()
-	f.cancelWatch = nil
+	f.cancelWatch, f.interrupt = nil, nil
 	wasCanceled := err != nil && watchCtx.Err() != nil && ctx.Err() == nil
 	if wasCanceled {
-		// updateStorePosition cancelled the watch. One that does not wait follows.
+		// The watch is out of date or proves nothing. One that does not wait follows.
 		f.answered = false
 	}
 	s.mu.Unlock()
@@ -381,7 +393,7 @@
 		u.At, confirmed = after.Revision, wagclock.Earlier(confirmed, deadline)
 	}
 	s.apply(u)
-	s.recordResponse(kind, position, confirmed)
+	s.recordResponse(kind, position, s.provenAt(began, confirmed))
 	return nil
 }
 
