waggateway, waghost: Send nothing to a server that this host knows to have left

Cause: a host sent to whichever server the owner granted, even if its own copy of the store said that the server leaves.

Fix: right before each attempt, hedges too, the host asks its own copy. A grant of a server that has left or is leaving is given back unused; the request is placed again without that server, and a few times more if the owner knows no other one yet.

--- a/waggateway/hedge.go
+++ b/waggateway/hedge.go
@@ -88,7 +88,7 @@
 	case outcome := <-placed:
 		cancel()
 		granted, ok := outcome.(wagowner.Granted)
-		if ok && q.updateAccess() && q.gateway.mayAttempt(granted) && !q.mustRefuse(q.gateway.clock.Now()) {
+		if ok && q.updateAccess() && q.gateway.mayAttempt(granted) && !q.gateway.isDeparted(granted) && !q.mustRefuse(q.gateway.clock.Now()) {
 			return granted, nil
 		}
 		if ok {
--- a/waggateway/request.go
+++ b/waggateway/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -80,6 +81,10 @@
 	// withheld counts the grants since the latest attempt that were given back unsent.
 	withheld     int
 	avoidServers []string
+	// departedServers holds the IDs of the servers whose grants were given back because they
+	// have left or are leaving. placedAgain counts how often they were tried again.
+	departedServers []string
+	placedAgain     int
 	// lastServer is the ID of the last server that the request was sent to, and
 	// waitTime how long the request waited for servers.
 	lastServer    string
@@ -359,8 +364,17 @@
 			return q.refusalResponse(q.shutdownRefusal())
 		}
 		if !ok {
+			if q.awaitNewList(q.placing) {
+				continue
+			}
 			return q.refusalResponse(outcome)
 		}
+		if q.gateway.isDeparted(granted) {
+			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
+			q.departedServers = append(q.departedServers, granted.Server.ID)
+			q.withheld++
+			continue
+		}
 		if !q.gateway.mayAttempt(granted) {
 			granted.Finish(wagplacement.Result{Fault: wagplacement.FaultCanceled})
 			if q.awaitOtherServer(q.placing) {
@@ -406,7 +420,7 @@
 	}
 	return wagplacement.Request{
 		Route: q.route.Name, Rank: q.rank(), Customer: q.access.customerName(), Goal: goal, Deadline: q.deadline,
-		Name: q.id, Avoid: append(q.gateway.upstream.RestrictedServers(q.service), q.avoidServers...), Repeat: q.attempts > 0, Hedge: hedge,
+		Name: q.id, Avoid: slices.Concat(q.gateway.upstream.RestrictedServers(q.service), q.avoidServers, q.departedServers), Repeat: q.attempts > 0, Hedge: hedge,
 		PlacedAgain: q.withheld > 0,
 	}
 }
--- a/waggateway/waggateway.go
+++ b/waggateway/waggateway.go
@@ -95,6 +95,8 @@
 	requestCounters sync.Map // route name to *atomic.Uint64, the number of its requests
 	// maySend reports whether a request may be sent to the server with an ID; nil for all.
 	maySend func(serverID string) bool
+	// hasLeft reports whether the server with an ID has left or is leaving; nil for none.
+	hasLeft func(serverID string) bool
 	// limits bound what callers holds.
 	limits  Limits
 	callers callers
--- a/waggateway/withhold.go
+++ b/waggateway/withhold.go
@@ -25,6 +25,36 @@
 	return func(g *Gateway) { g.maySend = maySend }
 }
 
+// maxPlacedAgain bounds how often a request is placed again, after a refusal, because the
+// servers that were granted before have left.
+const maxPlacedAgain = 4
+
+// WithDepartureCheck sets a function that is asked right before each attempt whether a
+// server has left, or is leaving, as far as this host knows. An owner that does not know
+// may have granted it. The grant is given back unused then, and the request is placed again
+// without that server.
+func WithDepartureCheck(hasLeft func(serverID string) bool) Option {
+	return func(g *Gateway) { g.hasLeft = hasLeft }
+}
+
+// isDeparted reports whether a server that was granted has left or is leaving.
+func (g *Gateway) isDeparted(granted wagowner.Granted) bool {
+	return g.hasLeft != nil && g.hasLeft(granted.Server.ID)
+}
+
+// awaitNewList waits until a refused request may be placed again because the owner has
+// granted servers that have left: it may know others soon. It returns false if the refusal
+// is final.
+func (q *request) awaitNewList(ctx context.Context) bool {
+	if len(q.departedServers) == 0 || q.placedAgain >= maxPlacedAgain || !q.awaitOtherServer(ctx) {
+		return false
+	}
+	q.placedAgain++
+	q.withheld++
+	q.departedServers = nil
+	return true
+}
+
 // mayAttempt reports whether a request may be sent to a server that was granted.
 func (g *Gateway) mayAttempt(granted wagowner.Granted) bool {
 	return g.maySend == nil || g.maySend(granted.Server.ID)
--- a/waghost/site.go
+++ b/waghost/site.go
@@ -98,6 +98,9 @@
 	evacuations evacuations
 	// restoration holds what this host goes by after the store has come back from a copy.
 	restoration restoration
+	// leaving holds the IDs of the servers that have left or are leaving. It is never nil and
+	// not changed.
+	leaving atomic.Pointer[map[string]bool]
 	// configVersion is the version of the configuration in force.
 	configVersion wagsite.Version
 	// evacuationsKnown is set when this host waits for the evacuations no longer, which it
@@ -106,6 +109,8 @@
 	evacuationsWaitUntil time.Time
 	// withheldAttempts counts the grants that were given back unsent.
 	withheldAttempts atomic.Uint64
+	// departedGrants counts the grants of servers that have left or are leaving.
+	departedGrants atomic.Uint64
 	// loggedFaults holds what was logged of invalid objects and of configurations that
 	// are used in part, so that it is logged once. It is emptied at maxLoggedFaults.
 	loggedFaults map[string]bool
@@ -134,6 +139,7 @@
 	for _, o := range opts {
 		o(s)
 	}
+	s.leaving.Store(&map[string]bool{})
 	freshness := wagroster.NewFreshness(settings.ApplyTimeout)
 	gaps := wagclock.NewGaps(s.clock, freshness.ApplyTimeout/4)
 	obs := observer{host: settings.Name, log: s.log, metrics: s.metrics, shortages: newShortages(), now: s.clock.Now, copyState: s.copyState}
@@ -155,7 +161,7 @@
 	s.owner.SetRemotePlaceFunc(s.mesh.PlaceRemote)
 	s.owner.SetQuotaLinks(s.mesh)
 	s.gateway = waggateway.New(protocol, s.mesh, s.upstream, waggateway.WithClock(s.clock), waggateway.WithLog(s.log.Logger()), waggateway.WithObserver(obs),
-		waggateway.WithSendCheck(s.maySend), waggateway.WithLimits(waggateway.Limits{MemoryBytes: limits.CallerMemoryBytes, Connections: limits.CallerConnections}))
+		waggateway.WithSendCheck(s.maySend), waggateway.WithDepartureCheck(s.hasLeft), waggateway.WithLimits(waggateway.Limits{MemoryBytes: limits.CallerMemoryBytes, Connections: limits.CallerConnections}))
 	s.evacuationsWaitUntil = s.clock.Now().Add(evacuationsWaitTimeout)
 	s.registerMetrics()
 	s.registerColdMetrics()
@@ -343,6 +349,7 @@
 	s.metrics.RegisterGauge("site_copy_age_seconds", "Time since the store confirmed the copy of its objects.", func() float64 { return s.copyAge().Seconds() })
 	s.metrics.RegisterGauge("site_store_era", "Latest known era of the store; 0 if it states none.", func() float64 { return float64(s.sync.Position().Era) })
 	s.metrics.RegisterGauge("site_copy_revision", "Revision of the store up to which the copy of its objects is known.", func() float64 { return float64(s.sync.Position().Revision) })
+	s.metrics.RegisterCounter("site_departed_grants_total", "Grants of servers that this host knows to have left or to be leaving, given back unsent.", func() float64 { return float64(s.departedGrants.Load()) })
 	s.metrics.RegisterCounter("site_dropped_updates_total", "Updates of the objects that were dropped as old or incomplete.", func() float64 { return float64(s.sync.DroppedUpdates()) })
 	s.metrics.RegisterGauge("site_members", "Known hosts of the site.", func() float64 { return float64(len(s.mesh.Members())) })
 	s.metrics.RegisterGauge("site_follows_store", "1 while this host follows the store for others.", func() float64 {
@@ -386,6 +393,33 @@
 		s.owner.SetServers(list)
 	}
 	s.owner.SetEvacuating(len(s.evacuations.dataCentres) > 0)
+	s.updateLeaving()
+}
+
+// updateLeaving records which servers have left or are leaving. s.mu must be held.
+func (s *SiteHost) updateLeaving() {
+	leaving := make(map[string]bool)
+	for _, d := range s.restoration.departures {
+		leaving[d.instance.ID] = true
+	}
+	for _, i := range s.servers {
+		if i.State == wagserver.Leaving {
+			leaving[i.ID] = true
+		} else {
+			delete(leaving, i.ID)
+		}
+	}
+	s.leaving.Store(&leaving)
+}
+
+// hasLeft reports whether a server has left or is leaving, as far as this host knows. One
+// that it does not know may have registered a moment ago.
+func (s *SiteHost) hasLeft(serverID string) bool {
+	if !(*s.leaving.Load())[serverID] {
+		return false
+	}
+	s.departedGrants.Add(1)
+	return true
 }
 
 // Run serves requests until ctx ends, and then shuts down gracefully.
