wagupstream: Make a test close its connection only with unread bytes

Traced: its server closes while it has read all that has arrived of the body, on a busy machine. The close ends the answer properly then, and it is whole: the case did not happen, and there is no fault of the product.

The server waits until bytes are unread before it closes; what the test checks is unchanged.

--- a/wagupstream/reset_test.go
+++ b/wagupstream/reset_test.go
@@ -12,8 +12,27 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
+// awaitUnreadBytes waits until the kernel holds bytes of a connection that were not read. A
+// close resets the connection only then; without any it ends the answer properly.
+func awaitUnreadBytes(c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return
+	}
+	for unread := 0; unread <= 0; {
+		err := raw.Control(func(fd uintptr) {
+			unread, _, _ = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT) // none yet is an error
+		})
+		if err != nil {
+			return
+		}
+		<-time.After(time.Millisecond)
+	}
+}
+
 // Guards against an answer without a length that is reset while a long request body is being
 // written, and counts as whole (case 7 of the review), and against one that is not accepted
 // although its connection ended properly.
@@ -50,6 +69,9 @@
 						<-time.After(5 * time.Millisecond)
 					}
 				}
+				if !x.readsAll && !x.reset {
+					awaitUnreadBytes(c)
+				}
 				if x.reset {
 					<-time.After(2 * time.Millisecond) // until the answer has arrived
 					_ = c.(*net.TCPConn).SetLinger(0)
