--- a/wagclock/gaps.go
+++ b/wagclock/gaps.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// Gap is a time in which the process did not run, as while it was stopped or its machine
+// Gap is a time in which the process did not run, as while it was stopped or its host was
 // suspended.
 type Gap struct {
 	// Length is the length of the gap, and Uncounted the part of it that the steady clock
-	// did not count. A machine's clock stands still while the machine is suspended.
+	// did not count: it stands still while the host is suspended.
 	Length, Uncounted time.Duration
 	EndedAt           time.Time
 }
@@ -23,7 +23,7 @@
 	shortest time.Duration
 	// timeOfDay returns the time of day, which may be set.
 	timeOfDay func() time.Time
-	// suspended returns how long the machine was suspended since its start.
+	// suspended returns how long the host was suspended since its start.
 	suspended func() (time.Duration, bool)
 
 	// mu is held while the handlers run.
@@ -40,7 +40,7 @@
 // GapsOption sets a property of a Gaps.
 type GapsOption func(*Gaps)
 
-// WithSuspendedTime replaces the function that returns how long the machine was suspended
+// WithSuspendedTime replaces the function that returns how long the host was suspended
 // since its start.
 func WithSuspendedTime(f func() (time.Duration, bool)) GapsOption {
 	return func(g *Gaps) { g.suspended = f }
--- a/wagclock/suspended_linux.go
+++ b/wagclock/suspended_linux.go
@@ -6,7 +6,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// suspendedTime returns how long the machine was suspended since its start: the steady clock
+// suspendedTime returns how long the host was suspended since its start: the steady clock
 // of Linux does not count that time, CLOCK_BOOTTIME does.
 func suspendedTime() (time.Duration, bool) {
 	var boot, steady unix.Timespec
--- a/waggateway/linger.go
+++ b/waggateway/linger.go
@@ -34,7 +34,7 @@
 	peekBytes = 64
 )
 
-// boundary tells whether net/http was given bytes beyond the current request. It counts
+// boundary finds whether net/http was given bytes beyond the current request. It counts
 // only; it decides on no request.
 type boundary struct {
 	// headDone is set after the empty line that ends the head. hasLine is set after the
--- a/wagowner/wagowner.go
+++ b/wagowner/wagowner.go
@@ -81,8 +81,7 @@
 	heldRequests    []heldRequest
 	startupDeadline time.Time
 	startupDone     bool
-	// holdUntil is until when requests are held because the list of servers may be out of
-	// date.
+	// Requests are held until holdUntil because the list of servers may be out of date.
 	holdUntil time.Time
 	// evacuating is set while some data centre is evacuated.
 	evacuating bool
