waggateway: Let a test not reuse a connection that its server is closing

Traced: the third request, which the test wants answered since, went to a server that closes its connection after the response that it held.

The third request has a server of its own; what the test checks is unchanged.

--- a/waggateway/readahead_test.go
+++ b/waggateway/readahead_test.go
@@ -193,8 +193,8 @@
 // been sent to servers already, or have been read since.
 func TestPlannedStopOfPipeline(t *testing.T) {
 	is := is.New(t)
-	a, b := heldServer(t, "a"), heldServer(t, "b")
-	f := newPipelineFixture(t, a, b, a)
+	a, b, c := heldServer(t, "a"), heldServer(t, "b"), newTestServer(t, "c", responseOK)
+	f := newPipelineFixture(t, a, b, c)
 	f.write(get("/status/1", "r1") + get("/status/2", "r2"))
 	await(t, a, 1)
 	await(t, b, 1)
@@ -211,7 +211,7 @@
 	_, id, closing = f.read()
 	is.Equal(id, "r3")
 	is.True(closing)
-	is.Equal(a.requestCount(), 2)
+	is.Equal(c.requestCount(), 1)
 }
 
 // Guards against a malformed request that affects those before it.
